--- /dev/null
+++ b/src/admin/balancer_api.rs
@@ -0,0 +1,225 @@
+//! The administration API of a balancer.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Json, Router,
+    extract::{Path, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use kameo::actor::ActorRef;
+use slog::{Logger, info};
+use tokio::time;
+
+use super::{ChangeReply, DrainRequest, EventCount, Status};
+use crate::{
+    balancer::control::{Control, OrderDrain, Snapshot, TakeSnapshot, TargetStatus},
+    clock::unix_ms,
+    control::{
+        commit::{self, CommitOutcome, Start},
+        policy::ChangeRefusal,
+        policy_cell::PolicyCell,
+        store::Store,
+    },
+    observe::{counters::Counters, metrics::Metrics},
+    proto::policy::{ChangeRequest, Policy},
+};
+
+/// How often an order is sent until the target confirms it.
+const ORDER_ATTEMPTS: u32 = 20;
+const ORDER_INTERVAL_MS: u64 = 100;
+
+/// What the API works on.
+#[derive(Clone)]
+pub struct BalancerApi<S> {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+    /// Soft state of the balancer.
+    pub control: ActorRef<Control>,
+    /// The policy in force.
+    pub policy: PolicyCell,
+    /// Counts of events.
+    pub counters: Counters,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The platform's store with the key of the policy.
+    pub store: Option<(S, Arc<str>)>,
+    /// Receives the changes that operators make.
+    pub log: Logger,
+}
+
+/// Makes the API's router.
+pub fn router<S: Store>(api: BalancerApi<S>) -> Router {
+    Router::new()
+        .route("/health/live", get(|| async { "live\n" }))
+        .route("/health/ready", get(ready::<S>))
+        .route("/metrics", get(metrics::<S>))
+        .route("/v1/status", get(status::<S>))
+        .route("/v1/targets", get(targets::<S>))
+        .route("/v1/targets/{name}/drain", post(drain::<S>))
+        .route("/v1/policy", get(policy::<S>))
+        .route("/v1/policy/changes", post(change::<S>))
+        .with_state(api)
+}
+
+impl<S: Store> BalancerApi<S> {
+    async fn snapshot(&self) -> Snapshot {
+        let empty = Snapshot {
+            targets: Vec::new(),
+            balancers: Vec::new(),
+        };
+        self.control.ask(TakeSnapshot).await.unwrap_or(empty)
+    }
+
+    async fn target(&self, name: &str) -> Option<TargetStatus> {
+        let targets = self.snapshot().await.targets;
+        targets.into_iter().find(|target| target.name == name)
+    }
+}
+
+async fn ready<S: Store>(State(api): State<BalancerApi<S>>) -> Response {
+    if api.control.is_alive() {
+        return "ready\n".into_response();
+    }
+    (StatusCode::SERVICE_UNAVAILABLE, "stopping\n").into_response()
+}
+
+async fn metrics<S: Store>(State(api): State<BalancerApi<S>>) -> String {
+    api.metrics.render()
+}
+
+async fn status<S: Store>(State(api): State<BalancerApi<S>>) -> Json<Status> {
+    let snapshot = api.snapshot().await;
+    Json(Status {
+        name: api.name.to_string(),
+        failure_domain: api.failure_domain.to_string(),
+        policy_version: api.policy.version(),
+        balancers: snapshot.balancers.iter().map(ToString::to_string).collect(),
+        events: event_counts(&api.counters),
+        targets: snapshot.targets,
+    })
+}
+
+pub(super) fn event_counts(counters: &Counters) -> Vec<EventCount> {
+    let counted = counters.counted();
+    counted
+        .map(|(event, count)| EventCount {
+            event: event.name().to_owned(),
+            count,
+        })
+        .collect()
+}
+
+async fn targets<S: Store>(State(api): State<BalancerApi<S>>) -> Json<Vec<TargetStatus>> {
+    Json(api.snapshot().await.targets)
+}
+
+/// Orders a drain and waits until the target's announcement confirms it.
+async fn drain<S: Store>(
+    State(api): State<BalancerApi<S>>,
+    Path(name): Path<String>,
+    Json(request): Json<DrainRequest>,
+) -> Response {
+    let wanted = if request.drain {
+        "draining"
+    } else {
+        "accepting"
+    };
+    for _ in 0..ORDER_ATTEMPTS {
+        let order = OrderDrain {
+            target: name.as_str().into(),
+            drain: request.drain,
+        };
+        if !api.control.ask(order).await.unwrap_or(false) {
+            return (StatusCode::NOT_FOUND, format!("no target named {name}\n")).into_response();
+        }
+        time::sleep(Duration::from_millis(ORDER_INTERVAL_MS)).await;
+        let target = api.target(&name).await;
+        if let Some(target) = target.filter(|target| target.state == wanted) {
+            info!(api.log, "target drain ordered"; "target" => name, "drain" => request.drain);
+            return Json(target).into_response();
+        }
+    }
+    let text = format!("{name} has not confirmed; look at `target list` and try again\n");
+    (StatusCode::GATEWAY_TIMEOUT, text).into_response()
+}
+
+async fn policy<S: Store>(State(api): State<BalancerApi<S>>) -> Json<Policy> {
+    Json((*api.policy.current()).clone())
+}
+
+async fn change<S: Store>(
+    State(api): State<BalancerApi<S>>,
+    Json(request): Json<ChangeRequest>,
+) -> Response {
+    let Some((store, key)) = &api.store else {
+        let reason = "this balancer's settings name no store".to_owned();
+        return reply(ChangeReply::Unavailable { reason });
+    };
+    let initial = initial_policy(&api.policy);
+    let start = Start {
+        initial: &initial,
+        changed_at_ms: unix_ms(),
+    };
+    let outcome = commit::commit(store, key, &request, &start).await;
+    if let CommitOutcome::Accepted(policy) = &outcome {
+        api.policy.offer((**policy).clone());
+        info!(api.log, "policy changed"; "version" => policy.version,
+            "operator" => &request.operator, "change_id" => &request.change_id);
+    }
+    reply(change_reply(outcome))
+}
+
+/// What a change starts from while the store holds no policy.
+fn initial_policy(cell: &PolicyCell) -> Policy {
+    let current = cell.current();
+    if current.version == 0 {
+        return (*current).clone();
+    }
+    crate::control::policy::initial()
+}
+
+fn change_reply(outcome: CommitOutcome) -> ChangeReply {
+    match outcome {
+        CommitOutcome::Accepted(policy) => ChangeReply::Accepted { policy },
+        CommitOutcome::Conflict {
+            current_version,
+            changes,
+        } => ChangeReply::Conflict {
+            current_version,
+            changes,
+        },
+        CommitOutcome::Refused(refusal) => ChangeReply::Refused {
+            faults: refusal_lines(refusal),
+        },
+        CommitOutcome::Unavailable(error) => ChangeReply::Unavailable {
+            reason: error.to_string(),
+        },
+        CommitOutcome::Unknown(error) => ChangeReply::Unknown {
+            reason: error.to_string(),
+        },
+    }
+}
+
+fn refusal_lines(refusal: ChangeRefusal) -> Vec<String> {
+    match refusal {
+        ChangeRefusal::Faulty(faults) => faults.iter().map(ToString::to_string).collect(),
+        ChangeRefusal::NoSuchException(name) => vec![format!("there is no exception named {name}")],
+        ChangeRefusal::Empty => vec!["the request does not say what to change".to_owned()],
+    }
+}
+
+fn reply(reply: ChangeReply) -> Response {
+    let status = match &reply {
+        ChangeReply::Accepted { .. } => StatusCode::OK,
+        ChangeReply::Conflict { .. } => StatusCode::CONFLICT,
+        ChangeReply::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ChangeReply::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeReply::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    };
+    (status, Json(reply)).into_response()
+}
--- /dev/null
+++ b/src/agent/endpoint.rs
@@ -0,0 +1,125 @@
+//! Configuration of the QUIC library for an agent.
+
+use std::{sync::Arc, time::Duration};
+
+use quinn::{
+    Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig, ServerConfig, TokioRuntime,
+    TransportConfig, VarInt,
+    crypto::rustls::{NoInitialCipherSuite, QuicServerConfig},
+};
+use quinn_proto::ValidationTokenConfig;
+use rustls::{
+    server::{ClientHello, ResolvesServerCert},
+    sign::CertifiedKey,
+};
+use snafu::{ResultExt, Snafu};
+
+use super::{connection_ids::AgentConnectionIds, socket::AgentSocket};
+use crate::{
+    settings::TlsIdentity,
+    wire::{
+        connection_id::Route,
+        key_ring::SharedKeyRing,
+        quic_keys::{ResetKey, RetryTokenKey},
+    },
+};
+
+const ALPN_HTTP3: &[u8] = b"h3";
+const IDLE_TIMEOUT_MS: u32 = 30_000;
+/// Keeps silent streams open through the idle timeout of both sides.
+const KEEP_ALIVE_INTERVAL_MS: u64 = 10_000;
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+const CONNECTION_WINDOW_BYTES: u32 = 1 << 20;
+const SEND_WINDOW_BYTES: u64 = 512 << 10;
+const MAX_STREAMS: u32 = 128;
+/// Leaves room for the envelope in a packet of 1,500 bytes.
+const MAX_PACKET_LEN: u16 = 1_400;
+
+/// Why the endpoint cannot be set up.
+#[derive(Debug, Snafu)]
+pub enum EndpointError {
+    /// The socket cannot be used.
+    #[snafu(display("the inner socket cannot be used: {source}"))]
+    Socket {
+        /// The underlying error.
+        source: std::io::Error,
+    },
+    /// TLS cannot be set up.
+    #[snafu(display("TLS cannot be set up: {source}"))]
+    Tls {
+        /// The underlying error.
+        source: rustls::Error,
+    },
+    /// The cipher suite for Initial packets is missing.
+    #[snafu(display("the TLS library lacks the cipher suite of Initial packets"))]
+    InitialSuite {
+        /// The underlying error.
+        source: NoInitialCipherSuite,
+    },
+}
+
+/// Opens the endpoint on the agent's socket.
+pub(crate) fn open(
+    socket: AgentSocket,
+    keys: &SharedKeyRing,
+    route: Route,
+    tls: &TlsIdentity,
+) -> Result<Endpoint, EndpointError> {
+    let mut config = EndpointConfig::new(Arc::new(ResetKey::new(keys.clone())));
+    let generator_keys = keys.clone();
+    config.cid_generator(move || Box::new(AgentConnectionIds::new(generator_keys.clone(), route)));
+    config.min_reset_interval(Duration::from_millis(1));
+    let server = server_config(keys, tls)?;
+    let runtime = Arc::new(TokioRuntime);
+    Endpoint::new_with_abstract_socket(config, Some(server), Arc::new(socket), runtime)
+        .context(SocketSnafu)
+}
+
+/// Configuration of new connections; a reload makes it anew.
+pub(crate) fn server_config(
+    keys: &SharedKeyRing,
+    tls: &TlsIdentity,
+) -> Result<ServerConfig, EndpointError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .context(TlsSnafu)?
+        .with_no_client_auth()
+        .with_cert_resolver(Arc::new(OneCertificate(tls.certified())));
+    config.alpn_protocols = vec![ALPN_HTTP3.to_vec()];
+    let quic = QuicServerConfig::try_from(config).context(InitialSuiteSnafu)?;
+    let token_key = Arc::new(RetryTokenKey::new(keys.clone()));
+    let mut server = ServerConfig::new(Arc::new(quic), token_key);
+    // A token for later connections would skip the Retry that chooses the agent.
+    let mut tokens = ValidationTokenConfig::default();
+    tokens.sent(0);
+    server.validation_token_config(tokens);
+    server.transport_config(Arc::new(transport()));
+    Ok(server)
+}
+
+fn transport() -> TransportConfig {
+    let mut discovery = MtuDiscoveryConfig::default();
+    discovery.upper_bound(MAX_PACKET_LEN);
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
+        .keep_alive_interval(Some(Duration::from_millis(KEEP_ALIVE_INTERVAL_MS)))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES))
+        .receive_window(VarInt::from_u32(CONNECTION_WINDOW_BYTES))
+        .send_window(SEND_WINDOW_BYTES)
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .mtu_discovery_config(Some(discovery))
+        .datagram_receive_buffer_size(None);
+    transport
+}
+
+/// Shows the same certificate whatever name is asked for.
+#[derive(Debug)]
+struct OneCertificate(Arc<CertifiedKey>);
+
+impl ResolvesServerCert for OneCertificate {
+    fn resolve(&self, _hello: ClientHello<'_>) -> Option<Arc<CertifiedKey>> {
+        Some(Arc::clone(&self.0))
+    }
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,21 @@
+//! The agent: ends QUIC beside a target, owns its flows and decides what runs on the target.
+
+pub mod admission;
+mod announcer;
+mod connection;
+mod connection_ids;
+mod dispatch;
+mod endpoint;
+pub mod load;
+pub mod outcomes;
+mod problem;
+mod request;
+pub mod return_paths;
+pub mod run;
+mod slots;
+mod socket;
+mod state;
+mod view;
+
+pub use run::{Agent, AgentError};
+pub use view::AgentView;
--- /dev/null
+++ b/src/agent/request.rs
@@ -0,0 +1,541 @@
+//! Takes one request from its caller to the target and the answer back.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use bytes::{Buf, Bytes};
+use futures_util::{StreamExt, stream};
+use h3::{
+    error::Code,
+    server::{RequestResolver, RequestStream},
+};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Empty, StreamBody};
+use hyper::body::Frame;
+use kameo::actor::ActorRef;
+use slog::debug;
+use tokio::sync::mpsc;
+
+use super::{
+    dispatch::{self, DispatchError, RequestBody, TargetAnswer, strip_connection_headers},
+    outcomes::{Begin, KeptAnswer, MAX_KEPT_BODY_LEN, Outcome, Outcomes},
+    problem::Problem,
+    slots::{Ask, Permit, Slots},
+    state::Shared,
+};
+use crate::{
+    control::policy::{self, Classification},
+    observe::{counters::Event, metrics::RequestLabels},
+};
+
+/// Header that names the request for the at-most-once promise.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Header with the time in which the answer is of use, in milliseconds.
+pub const REQUEST_TIMEOUT_HEADER: &str = "request-timeout-ms";
+/// Header that names the target which answered.
+pub const TARGET_HEADER: &str = "bamboowind-target";
+/// Header of an answer that was kept from an earlier request.
+pub const REPLAYED_HEADER: &str = "idempotency-replayed";
+
+const FORWARDED_FOR_HEADER: &str = "x-forwarded-for";
+const OTHER_GROUP: &str = "other";
+const MAX_KEY_LEN: usize = 255;
+/// Pieces of a request's body on their way to the target.
+const BODY_QUEUE_LEN: usize = 4;
+const RETRY_WHILE_RUNNING_MS: u64 = 200;
+
+type Connection = h3_quinn::Connection;
+type SendHalf =
+    RequestStream<<h3_quinn::BidiStream<Bytes> as h3::quic::BidiStream<Bytes>>::SendStream, Bytes>;
+type ReceiveHalf =
+    RequestStream<<h3_quinn::BidiStream<Bytes> as h3::quic::BidiStream<Bytes>>::RecvStream, Bytes>;
+
+/// Handles the requests of all connections.
+#[derive(Clone)]
+pub(crate) struct Handler {
+    shared: Arc<Shared>,
+    slots: ActorRef<Slots>,
+    outcomes: Arc<Mutex<Outcomes>>,
+}
+
+/// How a request ended, for counters and metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    Answered,
+    Repeated,
+    NotRun,
+    OutcomeUnknown,
+    Cancelled,
+}
+
+impl Ending {
+    fn event(self) -> Event {
+        match self {
+            Self::Answered => Event::RequestAnswered,
+            Self::Repeated => Event::RequestRepeated,
+            Self::NotRun => Event::RequestNotRun,
+            Self::OutcomeUnknown => Event::RequestOutcomeUnknown,
+            Self::Cancelled => Event::RequestCancelled,
+        }
+    }
+
+    fn of(problem: &Problem) -> Self {
+        match problem.outcome {
+            super::problem::Outcome::NotRun => Self::NotRun,
+            super::problem::Outcome::Unknown => Self::OutcomeUnknown,
+        }
+    }
+}
+
+/// Whether a request may go on with its key.
+enum Claim {
+    /// It may.
+    Held,
+    /// An earlier request was answered, and this is its answer.
+    Kept(Arc<KeptAnswer>),
+    /// It may not.
+    Refused(Problem),
+}
+
+/// What the agent knows of a request besides its content.
+struct Context {
+    caller: SocketAddr,
+    classification: Classification,
+    key: Option<Arc<str>>,
+    fingerprint: u64,
+    start_by_ms: Option<u64>,
+    arrived_at: Instant,
+}
+
+impl Handler {
+    pub fn new(shared: Arc<Shared>, slots: ActorRef<Slots>) -> Self {
+        Self {
+            shared,
+            slots,
+            outcomes: Arc::default(),
+        }
+    }
+
+    /// Handles one request to its end.
+    pub async fn handle(&self, caller: SocketAddr, unread: RequestResolver<Connection, Bytes>) {
+        let (request, stream) = match unread.resolve_request().await {
+            Ok(parts) => parts,
+            Err(error) => {
+                debug!(self.shared.log, "request not read"; "caller" => %caller, "error" => %error);
+                return;
+            }
+        };
+        let (mut send, receive) = stream.split();
+        let context = match self.context(caller, &request) {
+            Ok(context) => context,
+            Err(problem) => {
+                self.shared.counters.count(Event::RequestNotRun);
+                send_problem(&mut send, &problem).await;
+                return;
+            }
+        };
+        let (ending, queued_ms) = self.serve(&context, request, &mut send, receive).await;
+        self.record(&context, ending, queued_ms);
+    }
+
+    fn context(&self, caller: SocketAddr, request: &Request<()>) -> Result<Context, Problem> {
+        let policy = self.shared.policy.current();
+        let service = &self.shared.identity.service;
+        let path = request.uri().path();
+        let classification = policy::classify(&policy, service, request.method().as_str(), path);
+        let timeout_ms = timeout_ms(request)?;
+        Ok(Context {
+            caller,
+            classification,
+            key: idempotency_key(request)?,
+            fingerprint: fingerprint(request),
+            start_by_ms: timeout_ms.map(|timeout_ms| self.shared.clock.now_ms() + timeout_ms),
+            arrived_at: Instant::now(),
+        })
+    }
+
+    async fn serve(
+        &self,
+        context: &Context,
+        request: Request<()>,
+        send: &mut SendHalf,
+        receive: ReceiveHalf,
+    ) -> (Ending, f64) {
+        match self.begin(context) {
+            Claim::Held => {}
+            Claim::Kept(answer) => return (self.replay(send, &answer).await, 0.0),
+            Claim::Refused(problem) => {
+                send_problem(send, &problem).await;
+                return (Ending::of(&problem), 0.0);
+            }
+        }
+        let permit = match self.admit(context).await {
+            Ok(permit) => permit,
+            Err(problem) => {
+                self.forget(context);
+                send_problem(send, &problem).await;
+                return (Ending::of(&problem), elapsed_ms(context));
+            }
+        };
+        let queued_ms = elapsed_ms(context);
+        let ending = self.run(context, request, send, receive).await;
+        drop(permit);
+        (ending, queued_ms)
+    }
+
+    async fn admit(&self, context: &Context) -> Result<Permit, Problem> {
+        let ask = Ask {
+            class: Arc::clone(&context.classification.class),
+            caller: context.caller.ip(),
+            start_by_ms: context.start_by_ms,
+            long_stream: context.classification.long_stream,
+        };
+        match self.slots.ask(ask).await {
+            Ok(permit) => Ok(permit),
+            Err(kameo::error::SendError::HandlerError(refusal)) => Err(Problem::refused(refusal)),
+            Err(_) => Err(Problem::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the agent is stopping",
+            )),
+        }
+    }
+
+    /// Claims the request's key, if it has one.
+    fn begin(&self, context: &Context) -> Claim {
+        let Some(key) = &context.key else {
+            return Claim::Held;
+        };
+        let retention_ms = self.shared.limits().outcome_retention_ms;
+        let now_ms = self.shared.clock.now_ms();
+        let begin = self
+            .outcomes()
+            .begin(now_ms, key, context.fingerprint, retention_ms);
+        match begin {
+            Begin::Run => Claim::Held,
+            Begin::Repeat(Outcome::Answered(answer)) => Claim::Kept(answer),
+            Begin::Repeat(Outcome::Running) => Claim::Refused(
+                Problem::unknown(StatusCode::CONFLICT, "a request with this key still runs")
+                    .with_retry_after_ms(RETRY_WHILE_RUNNING_MS),
+            ),
+            Begin::Repeat(Outcome::Unknown) => Claim::Refused(Problem::unknown(
+                StatusCode::CONFLICT,
+                "a request with this key ran and its answer was lost",
+            )),
+            Begin::OtherContent => Claim::Refused(Problem::not_run(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "this key was used for another request",
+            )),
+            Begin::Full => Claim::Refused(Problem::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "too many outcomes are kept",
+            )),
+        }
+    }
+
+    async fn run(
+        &self,
+        context: &Context,
+        request: Request<()>,
+        send: &mut SendHalf,
+        receive: ReceiveHalf,
+    ) -> Ending {
+        let target = self.shared.identity.target_address;
+        let connection = match dispatch::connect(target).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.forget(context);
+                let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, error.to_string());
+                send_problem(send, &problem).await;
+                return Ending::NotRun;
+            }
+        };
+        let timeout_ms = self.shared.limits().response_timeout_ms;
+        let outgoing = outgoing_request(request, context.caller, receive);
+        match connection.run(outgoing, timeout_ms).await {
+            Ok(answer) => self.relay(context, answer, send).await,
+            Err(error) => {
+                self.settle(context, Outcome::Unknown);
+                let problem = Problem::unknown(unknown_status(&error), error.to_string());
+                send_problem(send, &problem).await;
+                Ending::OutcomeUnknown
+            }
+        }
+    }
+
+    /// Streams the target's answer to the caller, and keeps it if the request has a key.
+    async fn relay(&self, context: &Context, answer: TargetAnswer, send: &mut SendHalf) -> Ending {
+        let TargetAnswer { response, .. } = &answer;
+        let mut head = Response::new(());
+        *head.status_mut() = response.status();
+        *head.headers_mut() = response.headers().clone();
+        strip_connection_headers(head.headers_mut());
+        let mut keeper = Keeper::new(context, &head);
+        if let Ok(name) = HeaderValue::from_str(&self.shared.identity.name) {
+            head.headers_mut().insert(TARGET_HEADER, name);
+        }
+        let mut is_caller_gone = send.send_response(head).await.is_err();
+        let mut answer = answer;
+        let ending = loop {
+            if is_caller_gone && context.key.is_none() {
+                break Ending::Cancelled;
+            }
+            match answer.response.body_mut().frame().await {
+                None => break Ending::Answered,
+                Some(Err(_)) => break Ending::OutcomeUnknown,
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    keeper.add(&data);
+                    is_caller_gone = is_caller_gone || send.send_data(data).await.is_err();
+                }
+            }
+        };
+        self.conclude(context, ending, keeper, send).await
+    }
+
+    async fn conclude(
+        &self,
+        context: &Context,
+        ending: Ending,
+        keeper: Keeper,
+        send: &mut SendHalf,
+    ) -> Ending {
+        if ending != Ending::Answered {
+            self.settle(context, Outcome::Unknown);
+            // A reset, so that the caller cannot take a part for the whole.
+            send.stop_stream(Code::H3_INTERNAL_ERROR);
+            return ending;
+        }
+        self.settle(context, keeper.into_outcome());
+        match send.finish().await {
+            Ok(()) => Ending::Answered,
+            Err(_) => Ending::Cancelled,
+        }
+    }
+
+    async fn replay(&self, send: &mut SendHalf, answer: &KeptAnswer) -> Ending {
+        let mut head = Response::new(());
+        *head.status_mut() = answer.status;
+        *head.headers_mut() = answer.headers.clone();
+        head.headers_mut()
+            .insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+        let Some(body) = &answer.body else {
+            let detail = format!(
+                "the request ran with status {}; its answer was too long to keep",
+                answer.status.as_u16()
+            );
+            let problem = Problem::unknown(StatusCode::CONFLICT, detail);
+            send_problem(send, &problem).await;
+            return Ending::Repeated;
+        };
+        // A caller that has left needs no answer.
+        let _ = send_whole(send, head, body.clone()).await;
+        Ending::Repeated
+    }
+
+    fn settle(&self, context: &Context, outcome: Outcome) {
+        if let Some(key) = &context.key {
+            let retention_ms = self.shared.limits().outcome_retention_ms;
+            let now_ms = self.shared.clock.now_ms();
+            self.outcomes().settle(now_ms, key, outcome, retention_ms);
+        }
+    }
+
+    fn forget(&self, context: &Context) {
+        if let Some(key) = &context.key {
+            self.outcomes().forget(key);
+        }
+    }
+
+    fn outcomes(&self) -> MutexGuard<'_, Outcomes> {
+        self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record(&self, context: &Context, ending: Ending, queued_ms: f64) {
+        let event = ending.event();
+        self.shared.counters.count(event);
+        let policy = self.shared.policy.current();
+        let group = policy::caller_group(&policy, context.caller.ip());
+        let labels = RequestLabels {
+            class: &context.classification.class,
+            caller_group: group.unwrap_or(OTHER_GROUP),
+            outcome: event.name(),
+        };
+        self.shared
+            .metrics
+            .record_request(labels, elapsed_ms(context), queued_ms);
+    }
+}
+
+/// Collects an answer so that it can be given again.
+struct Keeper {
+    answer: Option<KeptAnswer>,
+    body: Vec<u8>,
+    is_too_long: bool,
+}
+
+impl Keeper {
+    fn new(context: &Context, head: &Response<()>) -> Self {
+        let answer = context.key.as_ref().map(|_| KeptAnswer {
+            status: head.status(),
+            headers: head.headers().clone(),
+            body: None,
+        });
+        Self {
+            answer,
+            body: Vec::new(),
+            is_too_long: false,
+        }
+    }
+
+    fn add(&mut self, data: &Bytes) {
+        if self.answer.is_none() || self.is_too_long {
+            return;
+        }
+        self.is_too_long = self.body.len() + data.len() > MAX_KEPT_BODY_LEN;
+        if self.is_too_long {
+            self.body = Vec::new();
+        } else {
+            self.body.extend_from_slice(data);
+        }
+    }
+
+    fn into_outcome(self) -> Outcome {
+        match self.answer {
+            Some(mut answer) => {
+                answer.body = (!self.is_too_long).then(|| self.body.into());
+                Outcome::Answered(Arc::new(answer))
+            }
+            None => Outcome::Unknown,
+        }
+    }
+}
+
+fn outgoing_request(
+    request: Request<()>,
+    caller: SocketAddr,
+    receive: ReceiveHalf,
+) -> Request<RequestBody> {
+    let (mut parts, ()) = request.into_parts();
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(header::EXPECT);
+    if let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        parts.headers.insert(header::HOST, host);
+    }
+    if let Ok(address) = HeaderValue::from_str(&caller.ip().to_string()) {
+        parts.headers.insert(FORWARDED_FOR_HEADER, address);
+    }
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri = path.parse().unwrap_or_default();
+    let mut outgoing = Request::new(body(&parts.method, &parts.headers, receive));
+    *outgoing.method_mut() = parts.method;
+    *outgoing.uri_mut() = uri;
+    *outgoing.headers_mut() = parts.headers;
+    outgoing
+}
+
+/// The request's body as the target gets it, piece by piece.
+fn body(method: &Method, headers: &http::HeaderMap, receive: ReceiveHalf) -> RequestBody {
+    let is_without_body = matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+        && !headers.contains_key(header::CONTENT_LENGTH);
+    if is_without_body {
+        return Empty::new().map_err(|never| match never {}).boxed();
+    }
+    let (sender, receiver) = mpsc::channel(BODY_QUEUE_LEN);
+    tokio::spawn(pump(receive, sender));
+    let frames = stream::unfold(receiver, |mut receiver| async move {
+        let piece: Option<Result<Bytes, std::io::Error>> = receiver.recv().await;
+        piece.map(|piece| (piece, receiver))
+    });
+    BodyExt::boxed(StreamBody::new(frames.map(|piece| piece.map(Frame::data))))
+}
+
+/// Passes the caller's body on until it ends, the caller resets it or the target stops reading.
+async fn pump(mut receive: ReceiveHalf, sender: mpsc::Sender<Result<Bytes, std::io::Error>>) {
+    loop {
+        let piece = tokio::select! {
+            received = receive.recv_data() => received,
+            () = sender.closed() => return,
+        };
+        let piece = match piece {
+            Ok(Some(mut data)) => Ok(data.copy_to_bytes(data.remaining())),
+            Ok(None) => return,
+            Err(error) => Err(std::io::Error::other(error.to_string())),
+        };
+        let is_last = piece.is_err();
+        if sender.send(piece).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+async fn send_problem(send: &mut SendHalf, problem: &Problem) {
+    // A caller that has left needs no answer.
+    let _ = send_whole(send, problem.head(), problem.body().into()).await;
+}
+
+async fn send_whole(
+    send: &mut SendHalf,
+    head: Response<()>,
+    body: Bytes,
+) -> Result<(), h3::error::StreamError> {
+    send.send_response(head).await?;
+    if !body.is_empty() {
+        send.send_data(body).await?;
+    }
+    send.finish().await
+}
+
+fn unknown_status(error: &DispatchError) -> StatusCode {
+    match error {
+        DispatchError::Timeout { .. } => StatusCode::GATEWAY_TIMEOUT,
+        DispatchError::NotSent { .. } | DispatchError::Sent { .. } => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn idempotency_key(request: &Request<()>) -> Result<Option<Arc<str>>, Problem> {
+    let Some(value) = request.headers().get(IDEMPOTENCY_KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().unwrap_or_default();
+    if key.is_empty() || key.len() > MAX_KEY_LEN {
+        let detail =
+            format!("{IDEMPOTENCY_KEY_HEADER} must have 1 to {MAX_KEY_LEN} visible letters");
+        return Err(Problem::not_run(StatusCode::BAD_REQUEST, detail));
+    }
+    Ok(Some(key.into()))
+}
+
+fn timeout_ms(request: &Request<()>) -> Result<Option<u64>, Problem> {
+    let Some(value) = request.headers().get(REQUEST_TIMEOUT_HEADER) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    let detail = format!("{REQUEST_TIMEOUT_HEADER} must be a whole number of milliseconds");
+    match parsed {
+        Some(timeout_ms) => Ok(Some(timeout_ms)),
+        None => Err(Problem::not_run(StatusCode::BAD_REQUEST, detail)),
+    }
+}
+
+fn fingerprint(request: &Request<()>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request.method().hash(&mut hasher);
+    request.uri().path_and_query().hash(&mut hasher);
+    request
+        .headers()
+        .get(header::CONTENT_LENGTH)
+        .hash(&mut hasher);
+    hasher.finish()
+}
+
+fn elapsed_ms(context: &Context) -> f64 {
+    context.arrived_at.elapsed().as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/src/agent/run.rs
@@ -0,0 +1,203 @@
+//! Starts an agent's tasks and drains it before it stops.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use quinn::Endpoint;
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpListener, sync::mpsc, task::JoinSet, time};
+
+use super::{
+    announcer,
+    connection::serve,
+    endpoint::{self, EndpointError},
+    request::Handler,
+    slots,
+    socket::AgentSocket,
+    state::{Identity, Shared},
+    view::AgentView,
+};
+use crate::{
+    clock::unix_ms,
+    control::{peers::Peers, policy_cell::PolicyCell, policy_sync},
+    observe::{
+        counters::{Counters, Event},
+        metrics::{Metrics, MetricsError},
+    },
+    proto::control::AgentState,
+    settings::{AgentSettings, Settings, TlsIdentity},
+    wire::{
+        connection_id::{Epoch, Route},
+        key_ring::SharedKeyRing,
+        transport::{BatchSocket, InnerLink},
+    },
+};
+
+const CONTROL_QUEUE_LEN: usize = 1_024;
+const DRAIN_POLL_MS: u64 = 20;
+/// Time for the last packets of closed connections to leave.
+const CLOSE_TIMEOUT_MS: u64 = 1_000;
+
+/// Why an agent cannot start.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}; check that the address is free"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The underlying error.
+        source: std::io::Error,
+    },
+    /// The inner address is not IPv4.
+    #[snafu(display("inner_address {address} is not IPv4; agents need one, see docs/design"))]
+    NotIpv4 {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// QUIC cannot be set up.
+    #[snafu(display("{source}"))]
+    Endpoint {
+        /// The underlying error.
+        source: EndpointError,
+    },
+    /// Metrics cannot be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// The underlying error.
+        source: MetricsError,
+    },
+}
+
+/// A running agent.
+pub struct Agent {
+    shared: Arc<Shared>,
+    endpoint: Endpoint,
+    inner: InnerLink,
+    tasks: JoinSet<()>,
+}
+
+impl Agent {
+    /// Starts an agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AgentError`] when an address cannot be bound or a library cannot be set up.
+    pub async fn start(
+        settings: &Settings,
+        agent: &AgentSettings,
+        log: Logger,
+    ) -> Result<Self, AgentError> {
+        let address = settings.inner_address;
+        let SocketAddr::V4(route_address) = address else {
+            return NotIpv4Snafu { address }.fail();
+        };
+        let identity = Identity::new(settings, agent, unix_ms());
+        let route = Route {
+            agent: route_address,
+            service: agent.service_number,
+            epoch: Epoch::from_ms(identity.epoch_ms),
+        };
+        let counters = Counters::new();
+        let metrics = Metrics::new(&counters).context(MetricsSnafu)?;
+        let peers = Peers::new(address, &settings.peers);
+        let shared = Shared::new(identity, peers, PolicyCell::new(), counters, metrics, log);
+        let socket = BatchSocket::bind(address).context(BindSnafu { address })?;
+        let inner = InnerLink::new(Arc::new(socket), settings.keys.clone());
+        let listener = TcpListener::bind(address)
+            .await
+            .context(BindSnafu { address })?;
+        let (control, received) = mpsc::channel(CONTROL_QUEUE_LEN);
+        let socket = AgentSocket::new(inner.clone(), Arc::clone(&shared), control);
+        let endpoint =
+            endpoint::open(socket, &settings.keys, route, &agent.tls).context(EndpointSnafu)?;
+        let handler = Handler::new(Arc::clone(&shared), slots::spawn(&shared));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(Arc::clone(&shared), endpoint.clone(), handler));
+        tasks.spawn(announcer::run(Arc::clone(&shared), inner.clone(), received));
+        tasks.spawn(policy_sync::serve(
+            listener,
+            settings.keys.clone(),
+            shared.policy.clone(),
+        ));
+        info!(shared.log, "agent started"; "inner_address" => %address,
+            "service" => %agent.service, "target_address" => %agent.target_address);
+        Ok(Self {
+            shared,
+            endpoint,
+            inner,
+            tasks,
+        })
+    }
+
+    /// What the administration API sees.
+    #[must_use]
+    pub fn view(&self) -> AgentView {
+        AgentView::new(Arc::clone(&self.shared))
+    }
+
+    /// Shows another certificate to new connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EndpointError`] when TLS cannot be set up.
+    pub fn set_tls(&self, keys: &SharedKeyRing, tls: &TlsIdentity) -> Result<(), EndpointError> {
+        let config = endpoint::server_config(keys, tls)?;
+        self.endpoint.set_server_config(Some(config));
+        Ok(())
+    }
+
+    /// Starts or ends a drain without stopping.
+    pub fn set_draining(&self, is_draining: bool) {
+        let state = if is_draining {
+            AgentState::Draining
+        } else {
+            AgentState::Accepting
+        };
+        self.shared.set_state(state);
+    }
+
+    /// Drains, which takes at most the policy's drain timeout, and stops.
+    pub async fn stop(mut self) {
+        let drain_timeout_ms = self.shared.limits().drain_timeout_ms;
+        info!(self.shared.log, "agent draining"; "connections" => self.shared.connections(),
+            "drain_timeout_ms" => drain_timeout_ms);
+        self.set_draining(true);
+        let drained = time::timeout(Duration::from_millis(drain_timeout_ms), self.drained()).await;
+        if drained.is_err() {
+            warn!(self.shared.log, "drain timeout; closing what is left";
+                "connections" => self.shared.connections());
+        }
+        self.shared.set_state(AgentState::Gone);
+        announcer::announce_to_all(&self.shared, &self.inner);
+        self.endpoint.close(0u32.into(), b"agent stopped");
+        let idle = self.endpoint.wait_idle();
+        // What a caller does not acknowledge in time needs no answer any more.
+        let _ = time::timeout(Duration::from_millis(CLOSE_TIMEOUT_MS), idle).await;
+        info!(self.shared.log, "agent stopped");
+        self.abort().await;
+    }
+
+    /// Stops at once, as if the process had been killed.
+    pub async fn abort(&mut self) {
+        self.tasks.shutdown().await;
+    }
+
+    async fn drained(&self) {
+        while self.shared.connections() > 0 {
+            time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+}
+
+async fn accept(shared: Arc<Shared>, endpoint: Endpoint, handler: Handler) {
+    while let Some(incoming) = endpoint.accept().await {
+        let is_full = shared.connections() >= shared.limits().connections;
+        if is_full || shared.state() != AgentState::Accepting {
+            shared.counters.count(Event::ConnectionRefused);
+            incoming.refuse();
+            continue;
+        }
+        tokio::spawn(serve(Arc::clone(&shared), handler.clone(), incoming));
+    }
+}
--- /dev/null
+++ b/src/agent/state.rs
@@ -0,0 +1,169 @@
+//! State that the tasks of an agent share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+};
+
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::{
+    clock::Clock,
+    control::{
+        peers::Peers,
+        policy::{self, EffectiveLimits, Scope},
+        policy_cell::PolicyCell,
+    },
+    observe::{counters::Counters, metrics::Metrics},
+    proto::control::AgentState,
+    settings::{AgentSettings, Settings},
+};
+
+use super::load::Smoothed;
+
+/// Names of this agent and what it serves.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub name: Arc<str>,
+    pub failure_domain: Arc<str>,
+    pub service: Arc<str>,
+    pub service_number: u16,
+    pub inner_address: SocketAddr,
+    pub target_address: SocketAddr,
+    pub epoch_ms: u64,
+}
+
+impl Identity {
+    pub fn new(settings: &Settings, agent: &AgentSettings, epoch_ms: u64) -> Self {
+        Self {
+            name: Arc::clone(&settings.name),
+            failure_domain: Arc::clone(&settings.failure_domain),
+            service: Arc::clone(&agent.service),
+            service_number: agent.service_number,
+            inner_address: settings.inner_address,
+            target_address: agent.target_address,
+            epoch_ms,
+        }
+    }
+}
+
+/// What all tasks of an agent can see.
+pub(crate) struct Shared {
+    pub identity: Identity,
+    pub policy: PolicyCell,
+    pub counters: Counters,
+    pub metrics: Metrics,
+    pub clock: Clock,
+    pub log: Logger,
+    state: watch::Sender<AgentState>,
+    peers: Mutex<Peers>,
+    connections: AtomicU32,
+    running: AtomicU32,
+    queued: AtomicU32,
+    latency_us: Mutex<Smoothed>,
+    sequence: AtomicU64,
+}
+
+impl Shared {
+    pub fn new(
+        identity: Identity,
+        peers: Peers,
+        policy: PolicyCell,
+        counters: Counters,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            identity,
+            policy,
+            counters,
+            metrics,
+            clock: Clock::new(),
+            log,
+            state: watch::channel(AgentState::Accepting).0,
+            peers: Mutex::new(peers),
+            connections: AtomicU32::new(0),
+            running: AtomicU32::new(0),
+            queued: AtomicU32::new(0),
+            latency_us: Mutex::default(),
+            sequence: AtomicU64::new(1),
+        })
+    }
+
+    pub fn limits(&self) -> EffectiveLimits {
+        let scope = Scope {
+            service: &self.identity.service,
+            failure_domain: &self.identity.failure_domain,
+            host: &self.identity.name,
+        };
+        policy::effective_limits(&self.policy.current(), scope)
+    }
+
+    pub fn state(&self) -> AgentState {
+        *self.state.borrow()
+    }
+
+    pub fn set_state(&self, state: AgentState) -> bool {
+        self.state.send_if_modified(|current| {
+            let is_new = *current != state;
+            *current = state;
+            is_new
+        })
+    }
+
+    pub fn watch_state(&self) -> watch::Receiver<AgentState> {
+        self.state.subscribe()
+    }
+
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub fn connections(&self) -> u32 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    pub fn connection_opened(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub fn connection_closed(&self) {
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub fn set_load(&self, running: u32, queued: u32) {
+        self.running.store(running, Ordering::Relaxed);
+        self.queued.store(queued, Ordering::Relaxed);
+    }
+
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    pub fn queued(&self) -> u32 {
+        self.queued.load(Ordering::Relaxed)
+    }
+
+    pub fn note_latency_us(&self, latency_us: u64) {
+        let mut smoothed = self
+            .latency_us
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        smoothed.add(latency_us);
+    }
+
+    pub fn latency_us(&self) -> u64 {
+        self.latency_us
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .value()
+    }
+}
--- /dev/null
+++ b/src/balancer/control.rs
@@ -0,0 +1,378 @@
+//! The actor that holds a balancer's soft state: agents, other balancers and first packets.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use bytes::BytesMut;
+use kameo::{
+    Actor,
+    message::{Context, Message},
+};
+use serde::{Deserialize, Serialize};
+use slog::{Logger, info, warn};
+
+use super::{
+    directory::{AnnounceOutcome, Directory, Entry},
+    gossip::Gossip,
+    retry::{Answer, Responder},
+    returns::OuterSocket,
+};
+use crate::{
+    clock::Clock,
+    control::{policy_cell::PolicyCell, policy_sync},
+    observe::{
+        counters::{Counters, Event},
+        log::RateLimit,
+    },
+    proto::control::{AgentState, Announce, AnnounceAck, DrainOrder, control::Body},
+    settings::ServiceSettings,
+    wire::transport::{InnerLink, transmit},
+};
+
+/// Time after start in which a first packet that finds no agent is dropped instead of refused,
+/// since another balancer may know one.
+const WARM_UP_MS: u64 = 2_000;
+const WARNINGS_PER_SECOND: u32 = 5;
+
+/// What the actor is made of.
+pub struct ControlParts {
+    /// Link to agents and balancers.
+    pub inner: InnerLink,
+    /// Sockets towards callers, sorted by service.
+    pub outer: Vec<OuterSocket>,
+    /// Services of the settings, sorted by number.
+    pub services: Vec<ServiceSettings>,
+    /// Answers first packets.
+    pub responder: Responder,
+    /// The other balancers.
+    pub gossip: Gossip,
+    /// The policy in force.
+    pub policy: PolicyCell,
+    /// Counts what happens.
+    pub counters: Counters,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Receives the events.
+    pub log: Logger,
+}
+
+/// Soft state of a balancer; it is rebuilt within a second after a start.
+#[derive(Actor)]
+pub struct Control {
+    parts: ControlParts,
+    directory: Directory,
+    answer: Vec<u8>,
+    warnings: RateLimit,
+}
+
+impl Control {
+    /// Makes the actor's state.
+    #[must_use]
+    pub fn new(parts: ControlParts) -> Self {
+        Self {
+            parts,
+            directory: Directory::new(),
+            answer: Vec::new(),
+            warnings: RateLimit::new(WARNINGS_PER_SECOND),
+        }
+    }
+
+    fn outer(&self, service: u16) -> Option<&OuterSocket> {
+        let outer = &self.parts.outer;
+        let index = outer.binary_search_by_key(&service, |socket| socket.service);
+        index.ok().map(|index| &outer[index])
+    }
+
+    fn warn(&mut self, what: &'static str, source: SocketAddr) {
+        let now_ms = self.parts.clock.now_ms();
+        if let Some(suppressed) = self.warnings.permit(now_ms) {
+            warn!(self.parts.log, "{}", what; "source" => %source, "suppressed" => suppressed);
+        }
+    }
+
+    fn is_known_service(&self, announce: &Announce) -> bool {
+        let services = &self.parts.services;
+        services.iter().any(|service| {
+            u32::from(service.number) == announce.service_number
+                && *service.name == *announce.service
+        })
+    }
+
+    fn announced(&mut self, source: SocketAddr, announce: Announce) {
+        let now_ms = self.parts.clock.now_ms();
+        let SocketAddr::V4(address) = source else {
+            self.parts.counters.count(Event::AnnounceRefused);
+            return;
+        };
+        if !self.is_known_service(&announce) {
+            self.parts.counters.count(Event::AnnounceRefused);
+            self.warn(
+                "announcement of a service that the settings do not have",
+                source,
+            );
+            return;
+        }
+        let ack = AnnounceAck {
+            sequence: announce.sequence,
+            policy_version: self.parts.policy.version(),
+            balancers: self.parts.gossip.shared_addresses(now_ms),
+        };
+        self.parts
+            .inner
+            .send_control(source, Body::AnnounceAck(ack));
+        let (name, state) = (announce.name.clone(), announce.state());
+        match self.directory.announce(now_ms, address, announce) {
+            AnnounceOutcome::Added | AnnounceOutcome::StateChanged => {
+                info!(self.parts.log, "target announced"; "target" => name, "address" => %address,
+                    "state" => state.as_str_name());
+            }
+            AnnounceOutcome::Updated | AnnounceOutcome::Stale => {}
+        }
+    }
+
+    /// Fetches the policy from a peer that has a newer one.
+    fn fetch_policy(&self, peer: SocketAddr, version: u64) {
+        if version <= self.parts.policy.version() {
+            return;
+        }
+        let keys = self.parts.inner.sealer().keys().clone();
+        let (cell, log) = (self.parts.policy.clone(), self.parts.log.clone());
+        tokio::spawn(async move {
+            match policy_sync::fetch(peer, keys, &cell).await {
+                Ok(true) => {
+                    info!(log, "policy in force"; "version" => cell.version(), "source" => %peer);
+                }
+                Ok(false) => {}
+                Err(error) => warn!(log, "policy not fetched"; "error" => %error),
+            }
+        });
+    }
+}
+
+/// A packet that may open a flow.
+pub struct FirstPacket {
+    /// Number of the service.
+    pub service: u16,
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// The datagram.
+    pub packet: BytesMut,
+}
+
+impl Message<FirstPacket> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, first: FirstPacket, _: &mut Context<Self, ()>) {
+        let now_ms = self.parts.clock.now_ms();
+        let route = self
+            .directory
+            .choose(now_ms, first.service, &mut rand::rng());
+        if route.is_none() && now_ms < WARM_UP_MS {
+            return;
+        }
+        let mut answer = std::mem::take(&mut self.answer);
+        let kind =
+            self.parts
+                .responder
+                .answer_first(first.caller, first.packet, route, &mut answer);
+        match kind {
+            Answer::Retry => self.parts.counters.count(Event::RetrySent),
+            Answer::Refusal => {
+                self.parts.counters.count(Event::FlowRefused);
+                self.warn("flow refused", first.caller);
+            }
+            Answer::Other | Answer::Nothing => {}
+        }
+        if let (Some(outer), false) = (self.outer(first.service), answer.is_empty()) {
+            // A lost answer is repeated when the caller repeats its packet.
+            let _ = outer
+                .socket
+                .try_send(&transmit(first.caller, &answer, None));
+        }
+        self.answer = answer;
+    }
+}
+
+/// A control message from another process.
+pub struct ControlMessage {
+    /// Inner address of the other process.
+    pub source: SocketAddr,
+    /// The message.
+    pub body: Body,
+}
+
+impl Message<ControlMessage> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ControlMessage, _: &mut Context<Self, ()>) {
+        let now_ms = self.parts.clock.now_ms();
+        match message.body {
+            Body::Announce(announce) => self.announced(message.source, announce),
+            Body::Heartbeat(heartbeat) => {
+                self.parts.gossip.heard(message.source, &heartbeat, now_ms);
+                self.fetch_policy(message.source, heartbeat.policy_version);
+            }
+            Body::AnnounceAck(_) | Body::DrainOrder(_) | Body::Probe(_) => {
+                self.parts.counters.count(Event::DroppedMalformed);
+            }
+        }
+    }
+}
+
+/// The passing of time.
+pub struct Tick;
+
+impl Message<Tick> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
+        let now_ms = self.parts.clock.now_ms();
+        self.directory.expire(now_ms);
+        self.parts
+            .gossip
+            .send_heartbeats(&self.parts.inner, self.parts.policy.version(), now_ms);
+    }
+}
+
+/// The policy has changed; the other balancers are told at once.
+pub struct PolicyChanged;
+
+impl Message<PolicyChanged> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: PolicyChanged, _: &mut Context<Self, ()>) {
+        let now_ms = self.parts.clock.now_ms();
+        let version = self.parts.policy.version();
+        self.parts
+            .gossip
+            .send_heartbeats(&self.parts.inner, version, now_ms);
+    }
+}
+
+/// Says goodbye to the other balancers.
+pub struct Leave;
+
+impl Message<Leave> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self, ()>) {
+        let version = self.parts.policy.version();
+        self.parts.gossip.send_goodbye(&self.parts.inner, version);
+        let agents = self.directory.entries().iter().map(|entry| entry.address);
+        for agent in agents {
+            self.parts
+                .gossip
+                .send_goodbye_to(&self.parts.inner, SocketAddr::V4(agent), version);
+        }
+    }
+}
+
+/// One target as operators see it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct TargetStatus {
+    /// Name of the host.
+    pub name: String,
+    /// Name of the service.
+    pub service: String,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Inner address of the agent.
+    pub address: SocketAddrV4,
+    /// State towards new work.
+    pub state: String,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+    /// Open connections.
+    pub connections: u32,
+    /// Smoothed time of a request on the target, in microseconds.
+    pub latency_us: u64,
+    /// Version of the policy in force at the agent.
+    pub policy_version: u64,
+    /// Age of the last announcement, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What a balancer knows.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Snapshot {
+    /// All targets, sorted by service and address.
+    pub targets: Vec<TargetStatus>,
+    /// Inner addresses of the other balancers that are alive.
+    pub balancers: Vec<SocketAddr>,
+}
+
+/// Asks for what the balancer knows.
+pub struct TakeSnapshot;
+
+impl Message<TakeSnapshot> for Control {
+    type Reply = Result<Snapshot, std::convert::Infallible>;
+
+    async fn handle(&mut self, _: TakeSnapshot, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now_ms = self.parts.clock.now_ms();
+        let entries = self.directory.entries().iter();
+        Ok(Snapshot {
+            targets: entries.map(|entry| status(entry, now_ms)).collect(),
+            balancers: self.parts.gossip.live(now_ms),
+        })
+    }
+}
+
+/// Sends a drain order to a target.
+pub struct OrderDrain {
+    /// Name of the host.
+    pub target: Arc<str>,
+    /// True to drain, false to resume.
+    pub drain: bool,
+}
+
+impl Message<OrderDrain> for Control {
+    type Reply = bool;
+
+    async fn handle(&mut self, order: OrderDrain, _: &mut Context<Self, bool>) -> bool {
+        let entries = self.directory.entries().iter();
+        let agents: Vec<_> = entries
+            .filter(|entry| entry.name == order.target)
+            .map(|entry| SocketAddr::V4(entry.address))
+            .collect();
+        for agent in &agents {
+            let order = DrainOrder {
+                name: order.target.to_string(),
+                drain: order.drain,
+            };
+            self.parts
+                .inner
+                .send_control(*agent, Body::DrainOrder(order));
+        }
+        !agents.is_empty()
+    }
+}
+
+fn status(entry: &Entry, now_ms: u64) -> TargetStatus {
+    let announce = &entry.announce;
+    let state = match announce.state() {
+        AgentState::Accepting => "accepting",
+        AgentState::Draining => "draining",
+        AgentState::Gone => "gone",
+        AgentState::Unspecified => "unknown",
+    };
+    TargetStatus {
+        name: entry.name.to_string(),
+        service: announce.service.clone(),
+        failure_domain: entry.failure_domain.to_string(),
+        address: entry.address,
+        state: state.to_owned(),
+        running: announce.running,
+        queued: announce.queued,
+        slots: announce.slots,
+        connections: announce.connections,
+        latency_us: announce.latency_us,
+        policy_version: announce.policy_version,
+        age_ms: now_ms.saturating_sub(entry.heard_at_ms),
+    }
+}
--- /dev/null
+++ b/src/balancer/directory.rs
@@ -0,0 +1,178 @@
+//! The agents that announced themselves, and the choice among them for a new flow.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use rand::Rng;
+
+use crate::{
+    proto::control::{AgentState, Announce},
+    wire::connection_id::{Epoch, Route},
+};
+
+/// Age of an announcement beyond which an agent gets no new flow.
+pub const FRESH_FOR_MS: u64 = 2_000;
+/// Age of an announcement beyond which an agent is forgotten.
+pub const FORGET_AFTER_MS: u64 = 30_000;
+/// Agents that are compared for one flow.
+const CANDIDATES: usize = 2;
+
+/// One agent as it last announced itself.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Number of the service.
+    pub service: u16,
+    /// Inner address of the agent.
+    pub address: SocketAddrV4,
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Failure domain of the host.
+    pub failure_domain: Arc<str>,
+    /// The announcement itself.
+    pub announce: Announce,
+    /// When the announcement came, by this balancer's clock.
+    pub heard_at_ms: u64,
+    /// Flows that this balancer has sent there since the announcement.
+    pub assigned: u32,
+}
+
+/// What became of an announcement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnnounceOutcome {
+    /// The agent was not known before.
+    Added,
+    /// The agent has changed its state.
+    StateChanged,
+    /// The agent's load was updated.
+    Updated,
+    /// A newer announcement is known already.
+    Stale,
+}
+
+/// All agents known to one balancer, sorted by service and address.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    entries: Vec<Entry>,
+}
+
+impl Directory {
+    /// Makes an empty directory.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes an announcement; an older one of the same address changes nothing.
+    pub fn announce(
+        &mut self,
+        now_ms: u64,
+        address: SocketAddrV4,
+        announce: Announce,
+    ) -> AnnounceOutcome {
+        let Ok(service) = u16::try_from(announce.service_number) else {
+            return AnnounceOutcome::Stale;
+        };
+        let age = |announce: &Announce| (announce.epoch_ms, announce.sequence);
+        let known = self.entries.iter().find(|entry| entry.address == address);
+        if known.is_some_and(|entry| age(&entry.announce) >= age(&announce)) {
+            return AnnounceOutcome::Stale;
+        }
+        let outcome = match known {
+            None => AnnounceOutcome::Added,
+            Some(entry) if entry.announce.epoch_ms != announce.epoch_ms => AnnounceOutcome::Added,
+            Some(entry) if entry.announce.state != announce.state => AnnounceOutcome::StateChanged,
+            Some(_) => AnnounceOutcome::Updated,
+        };
+        self.entries.retain(|entry| entry.address != address);
+        if announce.state() == AgentState::Gone {
+            return AnnounceOutcome::StateChanged;
+        }
+        let entry = Entry {
+            service,
+            address,
+            name: announce.name.as_str().into(),
+            failure_domain: announce.failure_domain.as_str().into(),
+            announce,
+            heard_at_ms: now_ms,
+            assigned: 0,
+        };
+        let index = self.search(service, address).unwrap_or_else(|index| index);
+        self.entries.insert(index, entry);
+        outcome
+    }
+
+    /// Chooses an agent for a new flow: the less loaded of two drawn at random.
+    pub fn choose<R: Rng>(&mut self, now_ms: u64, service: u16, random: &mut R) -> Option<Route> {
+        let range = self.service_range(service);
+        let eligible: Vec<usize> = range
+            .filter(|&index| is_eligible(&self.entries[index], now_ms))
+            .collect();
+        let drawn =
+            rand::seq::index::sample(random, eligible.len(), CANDIDATES.min(eligible.len()));
+        let best = drawn
+            .iter()
+            .map(|position| eligible[position])
+            .min_by(|&one, &other| {
+                load(&self.entries[one]).total_cmp(&load(&self.entries[other]))
+            })?;
+        let entry = &mut self.entries[best];
+        entry.assigned += 1;
+        Some(Route {
+            agent: entry.address,
+            service,
+            epoch: Epoch::from_ms(entry.announce.epoch_ms),
+        })
+    }
+
+    /// Forgets agents that have been silent for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.entries
+            .retain(|entry| now_ms.saturating_sub(entry.heard_at_ms) < FORGET_AFTER_MS);
+    }
+
+    /// All agents, sorted by service and address.
+    #[must_use]
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// Number of agents of a service that take new flows.
+    #[must_use]
+    pub fn eligible(&self, now_ms: u64, service: u16) -> usize {
+        let entries = &self.entries[self.service_range(service)];
+        entries
+            .iter()
+            .filter(|entry| is_eligible(entry, now_ms))
+            .count()
+    }
+
+    fn service_range(&self, service: u16) -> std::ops::Range<usize> {
+        let start = self
+            .entries
+            .partition_point(|entry| entry.service < service);
+        let end = self
+            .entries
+            .partition_point(|entry| entry.service <= service);
+        start..end
+    }
+
+    fn search(&self, service: u16, address: SocketAddrV4) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&(service, address), |entry| (entry.service, entry.address))
+    }
+}
+
+fn is_eligible(entry: &Entry, now_ms: u64) -> bool {
+    let announce = &entry.announce;
+    announce.state() == AgentState::Accepting
+        && announce.connections.saturating_add(entry.assigned) < announce.connection_limit
+        && now_ms.saturating_sub(entry.heard_at_ms) < FRESH_FOR_MS
+}
+
+/// Work per slot plus the share of connections in use.
+fn load(entry: &Entry) -> f64 {
+    let announce = &entry.announce;
+    let work = announce.running + announce.queued + entry.assigned;
+    let connections = announce.connections + entry.assigned;
+    f64::from(work) / f64::from(announce.slots.max(1))
+        + f64::from(connections) / f64::from(announce.connection_limit.max(1))
+}
--- /dev/null
+++ b/src/balancer/forward.rs
@@ -0,0 +1,124 @@
+//! Carries callers' packets to the agents that own their flows.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::BytesMut;
+use kameo::actor::ActorRef;
+
+use super::{
+    control::{Control, FirstPacket},
+    route::{Decision, DropReason, decide_datagram},
+};
+use crate::{
+    observe::counters::{Counters, Event},
+    wire::{
+        connection_id::Route,
+        envelope::{self, Kind, PACKET_OVERHEAD},
+        key_ring::KeyRing,
+        segment_run::SegmentRun,
+        transport::{BatchSocket, InnerLink, ReceiveBuffers},
+    },
+};
+
+/// Largest packet that is forwarded, in bytes.
+const MAX_PACKET_LEN: usize = envelope::MAX_BODY_LEN - envelope::ADDRESS_LEN;
+
+/// Forwards the packets of one service.
+pub struct Forwarder {
+    /// Number of the service.
+    pub service: u16,
+    /// Socket on the address that callers use.
+    pub outer: Arc<BatchSocket>,
+    /// Link to the agents.
+    pub inner: InnerLink,
+    /// Takes the packets that may open a flow.
+    pub control: ActorRef<Control>,
+    /// Counts what happens.
+    pub counters: Counters,
+}
+
+impl Forwarder {
+    /// Forwards until the socket fails.
+    pub async fn run(self) {
+        let mut buffers = ReceiveBuffers::new();
+        let mut pending = SegmentRun::default();
+        while self.outer.receive(&mut buffers).await.is_ok() {
+            let ring = self.inner.sealer().keys().load();
+            for train in buffers.trains() {
+                for packet in train.datagrams() {
+                    self.handle(&ring, train.source, packet, &mut pending).await;
+                }
+            }
+            self.flush(&mut pending).await;
+        }
+    }
+
+    async fn handle(
+        &self,
+        ring: &KeyRing,
+        caller: SocketAddr,
+        packet: &[u8],
+        pending: &mut SegmentRun,
+    ) {
+        if packet.len() > MAX_PACKET_LEN {
+            self.counters.count(Event::DroppedOversized);
+            return;
+        }
+        match decide_datagram(ring, self.service, packet) {
+            Decision::Forward(route) => self.forward(ring, caller, route, packet, pending).await,
+            Decision::Open => self.open(caller, packet),
+            Decision::Drop(reason) => self.counters.count(drop_event(reason)),
+        }
+    }
+
+    async fn forward(
+        &self,
+        ring: &KeyRing,
+        caller: SocketAddr,
+        route: Route,
+        packet: &[u8],
+        pending: &mut SegmentRun,
+    ) {
+        let agent = SocketAddr::V4(route.agent);
+        let len = PACKET_OVERHEAD + packet.len();
+        if !pending.fits(agent, len, self.inner.socket().max_segments(len)) {
+            self.flush(pending).await;
+        }
+        let header = self.inner.sealer().next_header(Kind::Forward, self.service);
+        let address = envelope::encode_address(caller);
+        pending.push(agent, len, |out| {
+            envelope::seal_into(ring.current(), &header, &[&address, packet], out);
+        });
+    }
+
+    async fn flush(&self, pending: &mut SegmentRun) {
+        if let Some(transmit) = pending.transmit() {
+            let event = match self.inner.socket().send(&transmit).await {
+                Ok(()) => Event::PacketForwarded,
+                Err(_) => Event::SendFailed,
+            };
+            self.counters
+                .add(event, u64::try_from(pending.segments()).unwrap_or_default());
+        }
+        pending.clear();
+    }
+
+    fn open(&self, caller: SocketAddr, packet: &[u8]) {
+        let message = FirstPacket {
+            service: self.service,
+            caller,
+            packet: BytesMut::from(packet),
+        };
+        if self.control.tell(message).try_send().is_err() {
+            self.counters.count(Event::DroppedOverload);
+        }
+    }
+}
+
+fn drop_event(reason: DropReason) -> Event {
+    match reason {
+        DropReason::Malformed => Event::DroppedMalformed,
+        DropReason::Unroutable => Event::DroppedUnroutable,
+        DropReason::WrongService => Event::DroppedWrongService,
+    }
+}
--- /dev/null
+++ b/src/balancer/mod.rs
@@ -0,0 +1,12 @@
+//! The balancer: forwards datagrams between callers and agents and holds no flow.
+
+pub mod control;
+pub mod directory;
+mod forward;
+mod gossip;
+pub mod retry;
+mod returns;
+pub mod route;
+pub mod run;
+
+pub use run::{Balancer, BalancerError};
--- /dev/null
+++ b/src/balancer/returns.rs
@@ -0,0 +1,150 @@
+//! Takes what arrives on the inner socket: replies for callers and control messages.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use kameo::actor::ActorRef;
+use prost::Message;
+
+use super::control::{Control, ControlMessage};
+use crate::{
+    observe::counters::{Counters, Event},
+    proto::control as proto,
+    wire::{
+        envelope::{self, Header, Kind},
+        key_ring::KeyRing,
+        replay::ReplayFilter,
+        segment_run::SegmentRun,
+        transport::{BatchSocket, InnerLink, ReceiveBuffers},
+    },
+};
+
+/// Senders whose sequence numbers are remembered.
+const MAX_SENDERS: usize = 16_384;
+
+/// One service's socket, by number.
+#[derive(Clone, Debug)]
+pub struct OuterSocket {
+    /// Number of the service.
+    pub service: u16,
+    /// Socket on the address that callers use.
+    pub socket: Arc<BatchSocket>,
+}
+
+/// Takes the datagrams of the inner socket.
+pub struct Returns {
+    /// Link to the agents.
+    pub inner: InnerLink,
+    /// Sockets towards callers, sorted by service.
+    pub outer: Vec<OuterSocket>,
+    /// Takes the control messages.
+    pub control: ActorRef<Control>,
+    /// Counts what happens.
+    pub counters: Counters,
+}
+
+/// Replies that wait to be sent, all through one socket.
+#[derive(Default)]
+struct Pending {
+    service: u16,
+    run: SegmentRun,
+}
+
+impl Returns {
+    /// Handles datagrams until the socket fails.
+    pub async fn run(self) {
+        let mut buffers = ReceiveBuffers::new();
+        let mut replays = ReplayFilter::new(MAX_SENDERS);
+        let mut pending = Pending::default();
+        while self.inner.socket().receive(&mut buffers).await.is_ok() {
+            let ring = self.inner.sealer().keys().load();
+            for train in buffers.trains() {
+                for datagram in train.datagrams() {
+                    let Some((header, body)) = self.admit(&ring, datagram, &mut replays) else {
+                        continue;
+                    };
+                    self.handle(train.source, header, body, &mut pending).await;
+                }
+            }
+            self.flush(&mut pending).await;
+        }
+    }
+
+    /// Checks a datagram and counts the ones that are dropped.
+    fn admit<'a>(
+        &self,
+        ring: &KeyRing,
+        datagram: &'a [u8],
+        replays: &mut ReplayFilter,
+    ) -> Option<(Header, &'a [u8])> {
+        let Ok((header, body)) = envelope::open(ring, datagram) else {
+            self.counters.count(Event::DroppedNotAuthentic);
+            return None;
+        };
+        if !replays.accept(header.sender, header.sequence) {
+            self.counters.count(Event::DroppedReplayed);
+            return None;
+        }
+        Some((header, body))
+    }
+
+    async fn handle(&self, source: SocketAddr, header: Header, body: &[u8], pending: &mut Pending) {
+        match header.kind {
+            Kind::Reply => self.reply(header.service, body, pending).await,
+            Kind::Control => self.control(source, body),
+            Kind::Forward => self.counters.count(Event::DroppedMalformed),
+        }
+    }
+
+    async fn reply(&self, service: u16, body: &[u8], pending: &mut Pending) {
+        let Some((caller, packet)) = envelope::split_packet(body) else {
+            self.counters.count(Event::DroppedMalformed);
+            return;
+        };
+        let max_segments = self.inner.socket().max_segments(packet.len());
+        if pending.service != service || !pending.run.fits(caller, packet.len(), max_segments) {
+            self.flush(pending).await;
+        }
+        pending.service = service;
+        pending
+            .run
+            .push(caller, packet.len(), |out| out.extend_from_slice(packet));
+    }
+
+    async fn flush(&self, pending: &mut Pending) {
+        if let Some(transmit) = pending.run.transmit() {
+            let sent = match self.outer_socket(pending.service) {
+                Some(socket) => socket.send(&transmit).await.is_ok(),
+                None => false,
+            };
+            let event = if sent {
+                Event::PacketReturned
+            } else {
+                Event::SendFailed
+            };
+            let segments = u64::try_from(pending.run.segments()).unwrap_or_default();
+            self.counters.add(event, segments);
+        }
+        pending.run.clear();
+    }
+
+    fn outer_socket(&self, service: u16) -> Option<&BatchSocket> {
+        let index = self
+            .outer
+            .binary_search_by_key(&service, |outer| outer.service);
+        index.ok().map(|index| &*self.outer[index].socket)
+    }
+
+    fn control(&self, source: SocketAddr, body: &[u8]) {
+        let decoded = proto::Control::decode(body)
+            .ok()
+            .and_then(|control| control.body);
+        let Some(body) = decoded else {
+            self.counters.count(Event::DroppedMalformed);
+            return;
+        };
+        let message = ControlMessage { source, body };
+        if self.control.tell(message).try_send().is_err() {
+            self.counters.count(Event::DroppedOverload);
+        }
+    }
+}
--- /dev/null
+++ b/src/balancer/run.rs
@@ -0,0 +1,261 @@
+//! Starts a balancer's tasks and stops them again.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use kameo::actor::{ActorRef, Spawn};
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpListener, task::JoinSet, time};
+
+use super::{
+    control::{Control, ControlParts, Leave, PolicyChanged, Tick},
+    forward::Forwarder,
+    gossip::Gossip,
+    retry::{Responder, RetryError},
+    returns::{OuterSocket, Returns},
+};
+use crate::{
+    clock::{Clock, unix_ms},
+    control::{
+        consul_store::ConsulStore,
+        policy,
+        policy_cell::PolicyCell,
+        policy_sync,
+        store::Store,
+        watcher::{self, WatchPlan},
+    },
+    observe::counters::Counters,
+    settings::{BalancerSettings, Settings, StoreSettings},
+    wire::transport::{BatchSocket, InnerLink},
+};
+
+const HEARTBEAT_INTERVAL_MS: u64 = 250;
+/// Time in which a leaving balancer goes on forwarding what is under way to it.
+const LEAVE_GRACE_MS: u64 = 1_000;
+
+/// Why a balancer cannot start.
+#[derive(Debug, Snafu)]
+pub enum BalancerError {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}; check that the address is free"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The underlying error.
+        source: std::io::Error,
+    },
+    /// TLS cannot be set up.
+    #[snafu(display("{source}"))]
+    Responder {
+        /// The underlying error.
+        source: RetryError,
+    },
+    /// The initial policy has faults or cannot be read.
+    #[snafu(display("{}: {reason}; run `bamboowind check` on it", path.display()))]
+    InitialPolicy {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// A running balancer.
+pub struct Balancer {
+    control: ActorRef<Control>,
+    policy: PolicyCell,
+    counters: Counters,
+    tasks: JoinSet<()>,
+    log: Logger,
+}
+
+impl Balancer {
+    /// Starts a balancer with the store of its settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BalancerError`] when an address cannot be bound or the initial policy has faults.
+    pub async fn start(
+        settings: &Settings,
+        balancer: &BalancerSettings,
+        log: Logger,
+    ) -> Result<Self, BalancerError> {
+        match &balancer.store {
+            Some(store) => {
+                let adapter = Some((ConsulStore::new(store), store.clone()));
+                Self::start_with(settings, balancer, adapter, log).await
+            }
+            None => Self::start_with::<ConsulStore>(settings, balancer, None, log).await,
+        }
+    }
+
+    /// Starts a balancer with another store.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BalancerError`] when an address cannot be bound or the initial policy has faults.
+    pub async fn start_with<S: Store>(
+        settings: &Settings,
+        balancer: &BalancerSettings,
+        store: Option<(S, StoreSettings)>,
+        log: Logger,
+    ) -> Result<Self, BalancerError> {
+        let policy = match &balancer.initial_policy_file {
+            Some(path) => PolicyCell::with_initial(read_policy(path)?),
+            None => PolicyCell::new(),
+        };
+        let counters = Counters::new();
+        let inner_socket = bind(settings.inner_address)?;
+        let inner = InnerLink::new(Arc::new(inner_socket), settings.keys.clone());
+        let outer = bind_services(balancer)?;
+        let listener = TcpListener::bind(settings.inner_address)
+            .await
+            .context(BindSnafu {
+                address: settings.inner_address,
+            })?;
+        let parts = ControlParts {
+            inner: inner.clone(),
+            outer: outer.clone(),
+            services: balancer.services.clone(),
+            responder: Responder::new(&settings.keys).context(ResponderSnafu)?,
+            gossip: Gossip::new(
+                settings.inner_address,
+                &settings.peers,
+                Arc::clone(&settings.name),
+                Arc::clone(&settings.failure_domain),
+                unix_ms(),
+            ),
+            policy: policy.clone(),
+            counters: counters.clone(),
+            clock: Clock::new(),
+            log: log.clone(),
+        };
+        let control = Control::spawn(Control::new(parts));
+        let mut tasks = JoinSet::new();
+        for socket in &outer {
+            let forwarder = Forwarder {
+                service: socket.service,
+                outer: Arc::clone(&socket.socket),
+                inner: inner.clone(),
+                control: control.clone(),
+                counters: counters.clone(),
+            };
+            tasks.spawn(forwarder.run());
+        }
+        let returns = Returns {
+            inner,
+            outer,
+            control: control.clone(),
+            counters: counters.clone(),
+        };
+        tasks.spawn(returns.run());
+        tasks.spawn(policy_sync::serve(
+            listener,
+            settings.keys.clone(),
+            policy.clone(),
+        ));
+        tasks.spawn(tick(control.clone()));
+        tasks.spawn(push_policy(control.clone(), policy.clone()));
+        if let Some((store, store_settings)) = store {
+            let plan = watch_plan(settings, &store_settings);
+            tasks.spawn(watcher::run(store, plan, policy.clone(), log.clone()));
+        }
+        info!(log, "balancer started"; "inner_address" => %settings.inner_address,
+            "services" => balancer.services.len());
+        Ok(Self {
+            control,
+            policy,
+            counters,
+            tasks,
+            log,
+        })
+    }
+
+    /// The actor that holds the soft state.
+    #[must_use]
+    pub fn control(&self) -> &ActorRef<Control> {
+        &self.control
+    }
+
+    /// The policy in force.
+    #[must_use]
+    pub fn policy(&self) -> &PolicyCell {
+        &self.policy
+    }
+
+    /// The counters.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Leaves: tells everyone, goes on forwarding for a grace time, and stops.
+    pub async fn stop(mut self) {
+        info!(self.log, "balancer leaving");
+        if self.control.tell(Leave).await.is_err() {
+            warn!(self.log, "control actor has stopped before the balancer");
+        }
+        time::sleep(Duration::from_millis(LEAVE_GRACE_MS)).await;
+        self.abort().await;
+    }
+
+    /// Stops at once, as if the process had been killed.
+    pub async fn abort(&mut self) {
+        self.control.kill();
+        self.tasks.shutdown().await;
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<BatchSocket, BalancerError> {
+    BatchSocket::bind(address).context(BindSnafu { address })
+}
+
+fn bind_services(balancer: &BalancerSettings) -> Result<Vec<OuterSocket>, BalancerError> {
+    let sockets = balancer.services.iter().map(|service| {
+        let socket = Arc::new(bind(service.address)?);
+        Ok(OuterSocket {
+            service: service.number,
+            socket,
+        })
+    });
+    sockets.collect()
+}
+
+fn read_policy(path: &std::path::Path) -> Result<crate::proto::policy::Policy, BalancerError> {
+    let refuse = |reason: String| BalancerError::InitialPolicy {
+        path: path.to_owned(),
+        reason,
+    };
+    let text = std::fs::read_to_string(path).map_err(|error| refuse(error.to_string()))?;
+    policy::parse(&text).map_err(|faults| refuse(faults[0].to_string()))
+}
+
+fn watch_plan(settings: &Settings, store: &StoreSettings) -> WatchPlan {
+    WatchPlan {
+        policy_key: Arc::clone(&store.policy_key),
+        failure_domain: Arc::clone(&settings.failure_domain),
+        holder: Arc::clone(&settings.name),
+        seats: store.watchers,
+        lease_ttl_ms: store.lease_ttl_ms,
+    }
+}
+
+async fn tick(control: ActorRef<Control>) {
+    let mut interval = time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if control.tell(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn push_policy(control: ActorRef<Control>, policy: PolicyCell) {
+    let mut changes = policy.subscribe();
+    while changes.changed().await.is_ok() {
+        if control.tell(PolicyChanged).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/commands/daemon.rs
@@ -0,0 +1,173 @@
+//! `bamboowind balancer` and `bamboowind agent`: run until a signal asks to stop.
+
+use std::{path::Path, sync::Arc};
+
+use slog::{Logger, error, info};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{
+    admin::{AdminServer, BalancerApi, agent_router, balancer_router},
+    agent::Agent,
+    balancer::Balancer,
+    control::consul_store::ConsulStore,
+    exit_codes::Exit,
+    observe::{log::logger, metrics::Metrics},
+    run::{fail, fail_faults},
+    settings::{AgentSettings, BalancerSettings, Role, Settings},
+};
+
+/// Runs a balancer until it is asked to stop.
+pub async fn run_balancer(path: &Path) -> Exit {
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => return fail_faults(path, error),
+    };
+    let Role::Balancer(balancer) = &settings.role else {
+        return fail_faults(
+            path,
+            "balancer: found nothing; expected the settings of a balancer",
+        );
+    };
+    let log = logger(std::io::stderr(), settings.log_level, &settings.name);
+    finish(serve_balancer(path, &settings, balancer, &log).await, &log)
+}
+
+/// Runs an agent until it is asked to stop.
+pub async fn run_agent(path: &Path) -> Exit {
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => return fail_faults(path, error),
+    };
+    let Role::Agent(agent) = &settings.role else {
+        return fail_faults(
+            path,
+            "agent: found nothing; expected the settings of an agent",
+        );
+    };
+    let log = logger(std::io::stderr(), settings.log_level, &settings.name);
+    finish(serve_agent(path, &settings, agent, &log).await, &log)
+}
+
+fn finish(result: Result<(), String>, log: &Logger) -> Exit {
+    match result {
+        Ok(()) => Exit::Done,
+        Err(message) => {
+            error!(log, "cannot run"; "error" => &message);
+            fail(Exit::Failed, message)
+        }
+    }
+}
+
+async fn serve_balancer(
+    path: &Path,
+    settings: &Settings,
+    balancer_settings: &BalancerSettings,
+    log: &Logger,
+) -> Result<(), String> {
+    let signals = Signals::new()?;
+    let balancer = Balancer::start(settings, balancer_settings, log.clone())
+        .await
+        .map_err(|error| error.to_string())?;
+    let metrics = Metrics::new(balancer.counters()).map_err(|error| error.to_string())?;
+    let store = balancer_settings.store.as_ref();
+    let api = BalancerApi {
+        name: Arc::clone(&settings.name),
+        failure_domain: Arc::clone(&settings.failure_domain),
+        control: balancer.control().clone(),
+        policy: balancer.policy().clone(),
+        counters: balancer.counters().clone(),
+        metrics,
+        store: store.map(|store| (ConsulStore::new(store), Arc::clone(&store.policy_key))),
+        log: log.clone(),
+    };
+    let admin = start_admin(settings, balancer_router(api)).await?;
+    signals
+        .wait(|| reload(path, settings, log, |_| Ok::<(), String>(())))
+        .await;
+    balancer.stop().await;
+    drop(admin);
+    Ok(())
+}
+
+async fn serve_agent(
+    path: &Path,
+    settings: &Settings,
+    agent_settings: &AgentSettings,
+    log: &Logger,
+) -> Result<(), String> {
+    let signals = Signals::new()?;
+    let agent = Agent::start(settings, agent_settings, log.clone())
+        .await
+        .map_err(|error| error.to_string())?;
+    let admin = start_admin(settings, agent_router(agent.view())).await?;
+    let renew = |fresh: &Settings| match &fresh.role {
+        Role::Agent(fresh) => agent.set_tls(&settings.keys, &fresh.tls),
+        Role::Balancer(_) => Ok(()),
+    };
+    signals.wait(|| reload(path, settings, log, renew)).await;
+    agent.stop().await;
+    drop(admin);
+    Ok(())
+}
+
+async fn start_admin(
+    settings: &Settings,
+    router: axum::Router,
+) -> Result<Option<AdminServer>, String> {
+    let Some(admin) = &settings.admin else {
+        return Ok(None);
+    };
+    let server = AdminServer::start(admin, router).await;
+    server.map(Some).map_err(|error| error.to_string())
+}
+
+/// Reads the settings again and puts their keys and certificate in force.
+fn reload<E: std::fmt::Display>(
+    path: &Path,
+    settings: &Settings,
+    log: &Logger,
+    renew: impl Fn(&Settings) -> Result<(), E>,
+) {
+    let fresh = match Settings::read(path) {
+        Ok(fresh) => fresh,
+        Err(error) => {
+            error!(log, "settings not reloaded"; "error" => %error);
+            return;
+        }
+    };
+    settings.keys.replace(fresh.keys.load());
+    match renew(&fresh) {
+        Ok(()) => info!(log, "keys and certificate reloaded";
+            "current_phase" => settings.keys.load().current().phase()),
+        Err(error) => error!(log, "certificate not reloaded"; "error" => %error),
+    }
+}
+
+/// The signals that a process obeys.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, String> {
+        let listen = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hang_up: listen(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for a signal to stop, and reloads at each hang-up.
+    async fn wait(mut self, reload: impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => reload(),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! The commands of the program.
+
+pub mod admin;
+pub mod check;
+pub mod daemon;
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! Configuration and membership: what processes must agree on, and how they learn it.
+
+pub mod commit;
+pub mod consul_store;
+pub mod memory_store;
+pub mod peers;
+pub mod policy;
+pub mod policy_cell;
+pub mod policy_sync;
+pub mod store;
+pub mod watcher;
--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,43 @@
+//! Runs a command of the command line.
+
+use std::path::Path;
+
+use crate::{
+    cli::Command,
+    commands::{admin, check, daemon},
+    exit_codes::Exit,
+    quickstart,
+};
+
+/// Runs a command to its end.
+#[must_use]
+pub fn run(command: Command) -> Exit {
+    match command {
+        Command::Check { file } => check::run(&file),
+        Command::Balancer { settings } => block_on(daemon::run_balancer(&settings)),
+        Command::Agent { settings } => block_on(daemon::run_agent(&settings)),
+        Command::Admin { access, request } => block_on(admin::run(&access, *request)),
+        Command::Quickstart { seconds, json } => block_on(quickstart::run(seconds, json)),
+    }
+}
+
+fn block_on(future: impl Future<Output = Exit>) -> Exit {
+    match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(future),
+        Err(error) => fail(Exit::Failed, format!("cannot start the runtime: {error}")),
+    }
+}
+
+/// Prints an error as the program's last words.
+pub(crate) fn fail(exit: Exit, message: impl std::fmt::Display) -> Exit {
+    eprintln!("bamboowind: {message}");
+    exit
+}
+
+/// Prints the faults of a file, a line each.
+pub(crate) fn fail_faults(path: &Path, lines: impl std::fmt::Display) -> Exit {
+    for line in lines.to_string().lines() {
+        eprintln!("{}: {line}", path.display());
+    }
+    Exit::WrongUse
+}
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,140 @@
+//! Authenticated frames over TCP between bamboowind processes.
+//!
+//! A frame is a length, a phase byte, a 32-byte tag and a `prost` message. The asker opens with a
+//! random challenge that every tag of the answer covers, so that an old answer cannot be replayed.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::key_ring::SharedKeyRing;
+
+/// Largest frame, in bytes; the store's values are at most one megabyte.
+pub const MAX_FRAME_LEN: usize = 2 << 20;
+
+const TAG_LEN: usize = 32;
+const CHALLENGE_LEN: usize = 16;
+
+/// Why a framed exchange failed.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// The connection failed.
+    #[snafu(display("framed connection failed: {source}"))]
+    Connection {
+        /// The underlying error.
+        source: std::io::Error,
+    },
+    /// The other side closed the connection.
+    #[snafu(display("framed connection was closed by the other side"))]
+    Closed,
+    /// The frame is too short or carries a wrong tag.
+    #[snafu(display("frame is not authentic; check that both sides share a key phase"))]
+    NotAuthentic,
+    /// The message cannot be decoded.
+    #[snafu(display("frame cannot be decoded: {source}"))]
+    Decode {
+        /// The underlying error.
+        source: prost::DecodeError,
+    },
+}
+
+/// A stream of authenticated frames.
+pub struct FramedStream {
+    inner: Framed<TcpStream, LengthDelimitedCodec>,
+    keys: SharedKeyRing,
+    challenge: Bytes,
+}
+
+impl FramedStream {
+    /// Opens the asking side and sends its challenge.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError`] when the challenge cannot be sent.
+    pub async fn connect(stream: TcpStream, keys: SharedKeyRing) -> Result<Self, FrameError> {
+        let challenge = Bytes::copy_from_slice(&rand::random::<[u8; CHALLENGE_LEN]>());
+        let mut inner = codec(stream);
+        inner
+            .send(challenge.clone())
+            .await
+            .context(ConnectionSnafu)?;
+        Ok(Self {
+            inner,
+            keys,
+            challenge,
+        })
+    }
+
+    /// Opens the answering side and reads the other side's challenge.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError`] when no challenge arrives.
+    pub async fn accept(stream: TcpStream, keys: SharedKeyRing) -> Result<Self, FrameError> {
+        let mut inner = codec(stream);
+        let first = inner.next().await.context(ClosedSnafu)?;
+        let challenge = first.context(ConnectionSnafu)?.freeze();
+        ensure!(challenge.len() == CHALLENGE_LEN, NotAuthenticSnafu);
+        Ok(Self {
+            inner,
+            keys,
+            challenge,
+        })
+    }
+
+    /// Sends one message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError`] when the connection fails.
+    pub async fn send<M: Message>(&mut self, message: &M) -> Result<(), FrameError> {
+        let payload = message.encode_to_vec();
+        let ring = self.keys.load();
+        let keys = ring.current();
+        let mut frame = BytesMut::with_capacity(1 + TAG_LEN + payload.len());
+        frame.put_u8(keys.phase());
+        frame.put_slice(tag(keys.envelope_key(), &self.challenge, &payload).as_bytes());
+        frame.put_slice(&payload);
+        self.inner
+            .send(frame.freeze())
+            .await
+            .context(ConnectionSnafu)
+    }
+
+    /// Receives one message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError`] when the connection fails or the message is not authentic.
+    pub async fn receive<M: Message + Default>(&mut self) -> Result<M, FrameError> {
+        let next = self.inner.next().await.context(ClosedSnafu)?;
+        let frame = next.context(ConnectionSnafu)?;
+        let (&phase, rest) = frame.split_first().context(NotAuthenticSnafu)?;
+        let (received, payload) = rest
+            .split_first_chunk::<TAG_LEN>()
+            .context(NotAuthenticSnafu)?;
+        let ring = self.keys.load();
+        let keys = ring.get(phase).context(NotAuthenticSnafu)?;
+        let expected = tag(keys.envelope_key(), &self.challenge, payload);
+        ensure!(
+            expected == blake3::Hash::from_bytes(*received),
+            NotAuthenticSnafu
+        );
+        M::decode(payload).context(DecodeSnafu)
+    }
+}
+
+fn codec(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_LEN)
+        .new_framed(stream)
+}
+
+fn tag(key: &[u8; 32], challenge: &[u8], payload: &[u8]) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(challenge).update(payload);
+    hasher.finalize()
+}
