--- a/src/agent/request.rs
+++ b/src/agent/request.rs
@@ -48,7 +48,6 @@
 const BODY_QUEUE_LEN: usize = 4;
 const RETRY_WHILE_RUNNING_MS: u64 = 200;
 
-type Connection = h3_quinn::Connection;
 type SendHalf =
     RequestStream<<h3_quinn::BidiStream<Bytes> as h3::quic::BidiStream<Bytes>>::SendStream, Bytes>;
 type ReceiveHalf =
@@ -103,6 +102,7 @@
 
 /// What the agent knows of a request besides its content.
 struct Context {
+    connection: quinn::Connection,
     caller: SocketAddr,
     classification: Classification,
     key: Option<Arc<str>>,
@@ -121,7 +121,12 @@
     }
 
     /// Handles one request to its end.
-    pub async fn handle(&self, caller: SocketAddr, unread: RequestResolver<Connection, Bytes>) {
+    pub async fn handle(
+        &self,
+        connection: quinn::Connection,
+        unread: RequestResolver<h3_quinn::Connection, Bytes>,
+    ) {
+        let caller = connection.remote_address();
         let (request, stream) = match unread.resolve_request().await {
             Ok(parts) => parts,
             Err(error) => {
@@ -130,7 +135,7 @@
             }
         };
         let (mut send, receive) = stream.split();
-        let context = match self.context(caller, &request) {
+        let context = match self.context(connection, &request) {
             Ok(context) => context,
             Err(problem) => {
                 self.shared.counters.count(Event::RequestNotRun);
@@ -142,14 +147,19 @@
         self.record(&context, ending, queued_ms);
     }
 
-    fn context(&self, caller: SocketAddr, request: &Request<()>) -> Result<Context, Problem> {
+    fn context(
+        &self,
+        connection: quinn::Connection,
+        request: &Request<()>,
+    ) -> Result<Context, Problem> {
         let policy = self.shared.policy.current();
         let service = &self.shared.identity.service;
         let path = request.uri().path();
         let classification = policy::classify(&policy, service, request.method().as_str(), path);
         let timeout_ms = timeout_ms(request)?;
         Ok(Context {
-            caller,
+            caller: connection.remote_address(),
+            connection,
             classification,
             key: idempotency_key(request)?,
             fingerprint: fingerprint(request),
@@ -255,7 +265,12 @@
         };
         let timeout_ms = self.shared.limits().response_timeout_ms;
         let outgoing = outgoing_request(request, context.caller, receive);
-        match connection.run(outgoing, timeout_ms).await {
+        let running = connection.run(outgoing, timeout_ms);
+        let result = tokio::select! {
+            result = running => result,
+            () = abandoned(context) => return Ending::Cancelled,
+        };
+        match result {
             Ok(answer) => self.relay(context, answer, send).await,
             Err(error) => {
                 self.settle(context, Outcome::Unknown);
@@ -372,6 +387,14 @@
     }
 }
 
+/// Waits until nobody wants the answer: the caller has left, and no key can ask for it again.
+async fn abandoned(context: &Context) {
+    context.connection.closed().await;
+    if context.key.is_some() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Collects an answer so that it can be given again.
 struct Keeper {
     answer: Option<KeptAnswer>,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,9 +3,10 @@
 
 use std::{
     io::Write,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
@@ -56,19 +57,21 @@
         self.child = Some(child.expect("start the binary"));
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child
+            .as_ref()
+            .map(Child::id)
+            .expect("a running process")
+    }
+
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
     pub fn signal(&self, signal: &str) {
-        let pid = self
-            .child
-            .as_ref()
-            .map(Child::id)
-            .expect("a running process");
         let status = Command::new("kill")
             .arg(signal)
-            .arg(pid.to_string())
+            .arg(self.pid().to_string())
             .status();
         assert!(status.expect("kill").success());
     }
@@ -107,7 +110,6 @@
 
 /// A whole system with its surroundings.
 pub struct Scene {
-    pub folder: TempDir,
     pub certificate: DemoCertificate,
     pub store: StoreServer,
     pub services: Vec<ServiceScene>,
@@ -115,12 +117,15 @@
     pub agents: Vec<Process>,
     pub targets: Vec<DemoTarget>,
     outer: Vec<Vec<SocketAddr>>,
+    addresses: Addresses,
+    pub folder: TempDir,
 }
 
 impl Scene {
     /// Starts the store and `balancers` balancers for the two services, without any agent.
     pub async fn start(balancers: usize) -> Self {
-        let store = StoreServer::start(free_address(), MemoryStore::new()).await;
+        let mut addresses = Addresses::new();
+        let store = StoreServer::start(addresses.next(), MemoryStore::new()).await;
         let names = [("catalogo", 1), ("sonoteca", 2)];
         let services = names.map(|(name, number)| ServiceScene {
             name,
@@ -139,6 +144,7 @@
             agents: Vec::new(),
             targets: Vec::new(),
             outer: vec![Vec::new(); 2],
+            addresses,
         };
         scene.write(
             "certificate.pem",
@@ -146,7 +152,7 @@
         );
         scene.write("key.pem", &scene.certificate.private_key_pem.clone());
         scene.write("secret.hex", SECRET_HEX);
-        let inner: Vec<_> = (0..balancers).map(|_| free_address()).collect();
+        let inner: Vec<_> = (0..balancers).map(|_| scene.addresses.next()).collect();
         for index in 0..balancers {
             scene.add_balancer(index, &inner);
         }
@@ -178,13 +184,13 @@
     }
 
     fn add_balancer(&mut self, index: usize, inner: &[SocketAddr]) {
-        let outer: Vec<_> = (0..2).map(|_| free_address()).collect();
+        let outer: Vec<_> = (0..2).map(|_| self.addresses.next()).collect();
         let peers: Vec<_> = inner
             .iter()
             .map(|address| format!("\"{address}\""))
             .collect();
         let name = format!("balancer-{index}");
-        let admin = free_address();
+        let admin = self.addresses.next();
         let text = format!(
             "name: {name}\nfailure_domain: {domain}\ninner_address: {own}\npeers: [{peers}]\n\
              keys: {{current_phase: 1, phases: [{{phase: 1, secret_file: secret.hex}}]}}\n\
@@ -218,23 +224,30 @@
     pub async fn add_target(&mut self, service: usize, domain: &str) -> usize {
         let name = format!("{}-{}", self.services[service].name, self.agents.len());
         let target = DemoTarget::start(&name).await.expect("target");
+        let agent = self.add_agent(service, domain, target.address());
+        self.targets.push(target);
+        agent
+    }
+
+    /// Starts an agent process beside a target that stands already.
+    pub fn add_agent(&mut self, service: usize, domain: &str, target: SocketAddr) -> usize {
+        let name = format!("{}-{}", self.services[service].name, self.agents.len());
         let peers: Vec<_> = self
             .balancers
             .iter()
             .map(|balancer| format!("\"{}\"", balancer.inner))
             .collect();
-        let (inner, admin) = (free_address(), free_address());
+        let (inner, admin) = (self.addresses.next(), self.addresses.next());
         let text = format!(
             "name: {name}\nfailure_domain: {domain}\ninner_address: {inner}\npeers: [{peers}]\n\
              keys: {{current_phase: 1, phases: [{{phase: 1, secret_file: secret.hex}}]}}\n\
              admin: {{address: {admin}, token: {TOKEN}}}\n\
              agent:\n  service: {service_name}\n  service_number: {number}\n  \
-             target_address: {target_address}\n  \
+             target_address: {target}\n  \
              tls: {{certificate_file: certificate.pem, private_key_file: key.pem}}\n",
             peers = peers.join(", "),
             service_name = self.services[service].name,
             number = self.services[service].number,
-            target_address = target.address(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
         let mut agent = Process {
@@ -248,7 +261,6 @@
         };
         agent.start();
         self.agents.push(agent);
-        self.targets.push(target);
         self.agents.len() - 1
     }
 
@@ -279,6 +291,37 @@
         }
     }
 
+    /// Events that a process has counted.
+    pub async fn events(&self, process: &Process) -> Events {
+        Events(self.status(process).await["events"].clone())
+    }
+
+    /// Sum of an event over all balancers.
+    pub async fn total(&self, event: &str) -> u64 {
+        self.sum(&self.balancers, event).await
+    }
+
+    /// Sum of an event over all agents.
+    pub async fn agent_total(&self, event: &str) -> u64 {
+        self.sum(&self.agents, event).await
+    }
+
+    async fn sum(&self, processes: &[Process], event: &str) -> u64 {
+        let mut sum = 0;
+        for process in processes {
+            sum += self.events(process).await.of(event);
+        }
+        sum
+    }
+
+    /// Waits until a version of the policy is in force in every process.
+    pub async fn policy_in_force(&self, version: u64) {
+        for process in self.balancers.iter().chain(&self.agents) {
+            let is_in_force = || async { self.status(process).await["policy_version"] == version };
+            wait_until("the policy is in force", is_in_force).await;
+        }
+    }
+
     /// Opens a connection to a service.
     pub async fn caller(&self, service: usize) -> Caller {
         let fabric = &self.services[service].fabric;
@@ -325,6 +368,31 @@
     }
 }
 
+/// Counts of events in a status.
+pub struct Events(serde_json::Value);
+
+impl Events {
+    pub fn of(&self, event: &str) -> u64 {
+        let all = self.0.as_array().cloned().unwrap_or_default();
+        let entry = all.iter().find(|entry| entry["event"] == event);
+        entry
+            .and_then(|entry| entry["count"].as_u64())
+            .unwrap_or_default()
+    }
+}
+
+/// Resident memory of a process, in KiB.
+pub fn resident_kib(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let digits: String = line
+        .unwrap_or_default()
+        .chars()
+        .filter(char::is_ascii_digit)
+        .collect();
+    digits.parse().unwrap_or_default()
+}
+
 /// Runs the program in a folder and returns its exit code and output.
 pub fn run_in(folder: &Path, arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_bamboowind"))
@@ -362,13 +430,26 @@
     }
 }
 
-/// An address on which both a TCP and a UDP port are free.
-pub fn free_address() -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("address");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
+/// Addresses of one scene, on a loopback IP that no other scene uses.
+pub struct Addresses {
+    ip: Ipv4Addr,
+    port: u16,
+}
+
+impl Addresses {
+    pub fn new() -> Self {
+        static SCENES: AtomicU8 = AtomicU8::new(1);
+        let pid = std::process::id();
+        let octet = |number: u32| u8::try_from(1 + number % 250).expect("a small number");
+        let scene = SCENES.fetch_add(1, Ordering::Relaxed);
+        Self {
+            ip: Ipv4Addr::new(127, octet(pid / 250), octet(pid), scene),
+            port: 20_000,
         }
     }
+
+    pub fn next(&mut self) -> SocketAddr {
+        self.port += 1;
+        SocketAddr::new(self.ip.into(), self.port)
+    }
 }
