Run a request with a key at most once, and hand waiting requests over

Cause: a repeat of an Idempotency-Key on another connection reached another agent, which knew nothing of the first; and a request waited at a full agent while others of its service stood idle.

Ways weighed for the key: a record in the store (several hundred writes a second are not enough), a replicated record (ruled out by the users), the rendezvous hash over today's members (two agents with different lists both run it). Chosen: the home is fixed by the members at the key's birth, which a UUIDv7 tells; members are announced 2 s before their first key can be born and after their last, and an agent that hears no acknowledgement for 1.2 s stops deciding on newer keys. A home that cannot know answers outcome-unknown and does not run.

Ruled out on the way: settling a failed claim without a claim number. It let a timed-out claim erase the record of the request that ran (found by reading).

Hand-over: before a request runs, an agent with a free slot gives a tunnel to its target; the slot is held by the tunnel.

--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -1,15 +1,20 @@
 //! Announces the agent to balancers and carries out what they answer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::Rng;
 use slog::{info, warn};
 use tokio::{sync::mpsc, time};
 
-use super::{socket::Received, state::Shared};
+use super::{members::Notice, socket::Received, state::Shared};
 use crate::{
+    clock::unix_ms,
     control::policy_sync,
-    proto::control::{AgentState, Announce, AnnounceAck, DrainOrder, control::Body},
+    proto::control::{AgentState, Announce, AnnounceAck, DrainOrder, Sibling, control::Body},
     wire::transport::InnerLink,
 };
 
@@ -61,6 +66,7 @@
 fn announce_to(shared: &Shared, inner: &InnerLink, balancer: SocketAddr) {
     let limits = shared.limits();
     let identity = &shared.identity;
+    let (since_ms, until_ms) = shared.members().own_term();
     let announce = Announce {
         name: identity.name.to_string(),
         service: identity.service.to_string(),
@@ -76,6 +82,8 @@
         connection_limit: limits.connections,
         latency_us: shared.latency_us(),
         policy_version: shared.policy.version(),
+        home_since_ms: since_ms.unwrap_or_default(),
+        home_until_ms: until_ms.unwrap_or_default(),
     };
     inner.send_control(balancer, Body::Announce(announce));
 }
@@ -98,6 +106,7 @@
         peers.learn(ack.balancers.iter().filter_map(|text| text.parse().ok()));
         peers.expire(now_ms);
     }
+    note_siblings(shared, ack);
     if ack.policy_version > shared.policy.version() {
         fetch_policy(Arc::clone(shared), inner.clone(), source);
     }
@@ -118,17 +127,51 @@
     });
 }
 
+fn note_siblings(shared: &Shared, ack: &AnnounceAck) {
+    let now_ms = unix_ms();
+    let has_joined = {
+        let mut members = shared.members();
+        members.acknowledged(now_ms);
+        members.observe(now_ms, ack.siblings.iter().filter_map(notice));
+        members.has_joined(now_ms)
+    };
+    if has_joined && shared.state() == AgentState::Joining {
+        info!(shared.log, "agent takes new flows");
+        shared.set_state(AgentState::Accepting);
+    }
+}
+
+fn notice(sibling: &Sibling) -> Option<Notice> {
+    let port = u16::try_from(sibling.port).ok()?;
+    let given = |time_ms: u64| (time_ms > 0).then_some(time_ms);
+    Some(Notice {
+        address: SocketAddrV4::new(Ipv4Addr::from(sibling.ip), port),
+        home_since_ms: given(sibling.home_since_ms),
+        home_until_ms: given(sibling.home_until_ms),
+        work: sibling.running.saturating_add(sibling.queued),
+        slots: sibling.slots,
+        is_accepting: sibling.accepting,
+    })
+}
+
 /// Carries out an order, unless it is meant for another host or the process is leaving.
 fn ordered(shared: &Shared, order: &DrainOrder) {
-    if order.name != *shared.identity.name || shared.state() == AgentState::Gone {
-        return;
+    if order.name == *shared.identity.name && set_draining(shared, order.drain) {
+        info!(shared.log, "drain ordered"; "drain" => order.drain);
+    }
+}
+
+/// Starts or ends a drain; returns whether that changed anything.
+pub(crate) fn set_draining(shared: &Shared, is_draining: bool) -> bool {
+    let is_drained = shared.state() == AgentState::Draining;
+    if is_draining == is_drained || shared.state() == AgentState::Gone {
+        return false;
     }
-    let state = if order.drain {
-        AgentState::Draining
+    if is_draining {
+        shared.members().leave(unix_ms());
+        shared.set_state(AgentState::Draining)
     } else {
-        AgentState::Accepting
-    };
-    if shared.set_state(state) {
-        info!(shared.log, "drain ordered"; "drain" => order.drain);
+        shared.members().stay();
+        shared.set_state(AgentState::Joining)
     }
 }
--- a/src/agent/connection.rs
+++ b/src/agent/connection.rs
@@ -100,7 +100,7 @@
 /// Waits until the agent drains.
 async fn draining(state: &mut watch::Receiver<AgentState>) {
     let is_draining = state
-        .wait_for(|state| *state != AgentState::Accepting)
+        .wait_for(|state| matches!(state, AgentState::Draining | AgentState::Gone))
         .await
         .is_ok();
     if !is_draining {
--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -62,23 +62,28 @@
 }
 
 /// Connects to the target; a failure means that nothing has run.
-pub(crate) async fn connect(target: SocketAddr) -> Result<TargetConnection, DispatchError> {
-    let not_sent = |reason: String| DispatchError::NotSent { reason };
+pub(crate) async fn connect_target(target: SocketAddr) -> Result<TcpStream, DispatchError> {
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = match time::timeout(timeout, TcpStream::connect(target)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
-        Err(_) => {
-            return Err(not_sent(format!(
-                "no connection within {CONNECT_TIMEOUT_MS} ms"
-            )));
+    let connecting = time::timeout(timeout, TcpStream::connect(target)).await;
+    let reason = match connecting {
+        Ok(Ok(stream)) => {
+            // Small requests must not wait for more data; a failure costs only time.
+            let _ = stream.set_nodelay(true);
+            return Ok(stream);
         }
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => format!("no connection within {CONNECT_TIMEOUT_MS} ms"),
     };
-    // Small requests must not wait for more data; a failure costs only time.
-    let _ = stream.set_nodelay(true);
+    Err(DispatchError::NotSent { reason })
+}
+
+/// Prepares a connection for a request; nothing is sent yet.
+pub(crate) async fn prepare(stream: TcpStream) -> Result<TargetConnection, DispatchError> {
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| DispatchError::NotSent {
+            reason: error.to_string(),
+        })?;
     let task = tokio::spawn(async move {
         // Errors of the connection reach the request or its body.
         let _ = connection.await;
--- a/src/agent/outcomes.rs
+++ b/src/agent/outcomes.rs
@@ -48,12 +48,26 @@
 #[derive(Clone, Debug)]
 struct Record {
     key: Arc<str>,
+    birth_ms: u64,
     fingerprint: u64,
+    claim_id: u64,
     outcome: Outcome,
-    expires_at_ms: u64,
 }
 
-/// Outcomes by key, sorted, limited in number and in time.
+/// One try to run the request with a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Claim {
+    /// When the key was born, in milliseconds since the Unix epoch.
+    pub birth_ms: u64,
+    /// Hash of the request's content.
+    pub fingerprint: u64,
+    /// Random number of the try; only its own settlement is taken.
+    pub claim_id: u64,
+}
+
+/// Outcomes by key, sorted and limited in number.
+///
+/// A record may be dropped once keys of its age are no longer decided on.
 #[derive(Clone, Debug, Default)]
 pub struct Outcomes {
     records: Vec<Record>,
@@ -66,48 +80,65 @@
         Self::default()
     }
 
-    /// Decides on a request with `key`.
+    /// Decides on a try to run the request with `key`.
     ///
     /// ```
-    /// use bamboowind::agent::outcomes::{Begin, Outcome, Outcomes};
+    /// use bamboowind::agent::outcomes::{Begin, Claim, Outcome, Outcomes};
     ///
     /// let mut outcomes = Outcomes::new();
-    /// assert_eq!(outcomes.begin(0, "report-7", 1, 1_000), Begin::Run);
-    /// assert_eq!(outcomes.begin(1, "report-7", 1, 1_000), Begin::Repeat(Outcome::Running));
-    /// assert_eq!(outcomes.begin(1, "report-7", 2, 1_000), Begin::OtherContent);
+    /// let first = Claim { birth_ms: 1_000, fingerprint: 1, claim_id: 71 };
+    /// let again = Claim { claim_id: 72, ..first };
+    /// assert_eq!(outcomes.begin("report-7", first), Begin::Run);
+    /// assert_eq!(outcomes.begin("report-7", again), Begin::Repeat(Outcome::Running));
+    /// outcomes.settle("report-7", again.claim_id, None);
+    /// assert_eq!(outcomes.begin("report-7", again), Begin::Repeat(Outcome::Running));
+    /// outcomes.settle("report-7", first.claim_id, None);
+    /// assert_eq!(outcomes.begin("report-7", again), Begin::Run);
     /// ```
-    pub fn begin(&mut self, now_ms: u64, key: &str, fingerprint: u64, retention_ms: u64) -> Begin {
-        match self.search(key) {
-            Ok(index) if self.is_kept(index, now_ms) => {
+    pub fn begin(&mut self, key: &str, claim: Claim) -> Begin {
+        let index = match self.search(key) {
+            Ok(index) => {
                 let record = &self.records[index];
-                if record.fingerprint == fingerprint {
+                return if record.fingerprint == claim.fingerprint {
                     Begin::Repeat(record.outcome.clone())
                 } else {
                     Begin::OtherContent
-                }
-            }
-            Ok(index) => {
-                self.records.remove(index);
-                self.insert(now_ms, key, fingerprint, retention_ms)
+                };
             }
-            Err(_) => self.insert(now_ms, key, fingerprint, retention_ms),
+            Err(index) => index,
+        };
+        if self.records.len() >= MAX_OUTCOMES {
+            return Begin::Full;
         }
+        let record = Record {
+            key: key.into(),
+            birth_ms: claim.birth_ms,
+            fingerprint: claim.fingerprint,
+            claim_id: claim.claim_id,
+            outcome: Outcome::Running,
+        };
+        self.records.insert(index, record);
+        Begin::Run
     }
 
-    /// Notes that a request with `key` has not run after all.
-    pub fn forget(&mut self, key: &str) {
-        if let Ok(index) = self.search(key) {
-            self.records.remove(index);
+    /// Notes what became of a try that was let run; `None` says that it has not run after all.
+    pub fn settle(&mut self, key: &str, claim_id: u64, outcome: Option<Outcome>) {
+        let Ok(index) = self.search(key) else {
+            return;
+        };
+        if self.records[index].claim_id != claim_id {
+            return;
+        }
+        match outcome {
+            Some(outcome) => self.records[index].outcome = outcome,
+            None => drop(self.records.remove(index)),
         }
     }
 
-    /// Notes the outcome of the request with `key`.
-    pub fn settle(&mut self, now_ms: u64, key: &str, outcome: Outcome, retention_ms: u64) {
-        if let Ok(index) = self.search(key) {
-            let record = &mut self.records[index];
-            record.outcome = outcome;
-            record.expires_at_ms = now_ms + retention_ms;
-        }
+    /// Drops the records of keys that were born before `oldest_birth_ms`.
+    pub fn forget_before(&mut self, oldest_birth_ms: u64) {
+        self.records
+            .retain(|record| record.birth_ms >= oldest_birth_ms);
     }
 
     /// Number of outcomes that are kept.
@@ -122,35 +153,6 @@
         self.records.is_empty()
     }
 
-    fn insert(&mut self, now_ms: u64, key: &str, fingerprint: u64, retention_ms: u64) -> Begin {
-        if self.records.len() >= MAX_OUTCOMES {
-            self.expire(now_ms);
-        }
-        if self.records.len() >= MAX_OUTCOMES {
-            return Begin::Full;
-        }
-        let record = Record {
-            key: key.into(),
-            fingerprint,
-            outcome: Outcome::Running,
-            expires_at_ms: now_ms + retention_ms,
-        };
-        let index = self.search(key).unwrap_or_else(|index| index);
-        self.records.insert(index, record);
-        Begin::Run
-    }
-
-    fn expire(&mut self, now_ms: u64) {
-        self.records
-            .retain(|record| record.outcome == Outcome::Running || record.expires_at_ms > now_ms);
-    }
-
-    /// A running request is kept however long it runs.
-    fn is_kept(&self, index: usize, now_ms: u64) -> bool {
-        let record = &self.records[index];
-        record.outcome == Outcome::Running || record.expires_at_ms > now_ms
-    }
-
     fn search(&self, key: &str) -> Result<usize, usize> {
         self.records
             .binary_search_by(|record| (*record.key).cmp(key))
--- a/src/agent/request.rs
+++ b/src/agent/request.rs
@@ -3,8 +3,8 @@
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 use bytes::{Buf, Bytes};
@@ -18,16 +18,21 @@
 use hyper::body::Frame;
 use kameo::actor::ActorRef;
 use slog::debug;
-use tokio::sync::mpsc;
+use tokio::{net::TcpStream, sync::mpsc, time};
 
 use super::{
-    dispatch::{self, DispatchError, RequestBody, TargetAnswer, strip_connection_headers},
-    outcomes::{Begin, KeptAnswer, MAX_KEPT_BODY_LEN, Outcome, Outcomes},
+    dispatch::{
+        self, DispatchError, RequestBody, TargetAnswer, TargetConnection, strip_connection_headers,
+    },
+    handover::{Finder, Need},
+    home::{Decision, Grant, HomeBook, Key, KeyFault},
+    outcomes::{KeptAnswer, MAX_KEPT_BODY_LEN, Outcome},
     problem::Problem,
     slots::{Ask, Permit, Slots},
     state::Shared,
 };
 use crate::{
+    clock::unix_ms,
     control::policy::{self, Classification},
     observe::{counters::Event, metrics::RequestLabels},
 };
@@ -43,7 +48,10 @@
 
 const FORWARDED_FOR_HEADER: &str = "x-forwarded-for";
 const OTHER_GROUP: &str = "other";
-const MAX_KEY_LEN: usize = 255;
+/// How long the end of an answer waits for the home of its key to note the outcome.
+const SETTLE_WAIT_MS: u64 = 200;
+/// Pause between two searches for a slot at other agents.
+const SEARCH_INTERVAL_MS: u64 = 10;
 /// Pieces of a request's body on their way to the target.
 const BODY_QUEUE_LEN: usize = 4;
 const RETRY_WHILE_RUNNING_MS: u64 = 200;
@@ -58,7 +66,8 @@
 pub(crate) struct Handler {
     shared: Arc<Shared>,
     slots: ActorRef<Slots>,
-    outcomes: Arc<Mutex<Outcomes>>,
+    book: HomeBook,
+    finder: Finder,
 }
 
 /// How a request ended, for counters and metrics.
@@ -90,14 +99,69 @@
     }
 }
 
-/// Whether a request may go on with its key.
-enum Claim {
-    /// It may.
-    Held,
+/// Why a request with a key may not run.
+enum Refused {
     /// An earlier request was answered, and this is its answer.
     Kept(Arc<KeptAnswer>),
-    /// It may not.
-    Refused(Problem),
+    /// Another reason.
+    Problem(Problem),
+}
+
+/// A key that was granted to a request, until its outcome is settled.
+///
+/// A claim that is dropped, because its request was given up, is settled as unknown.
+struct HeldClaim {
+    held: Option<(HomeBook, Grant)>,
+}
+
+impl HeldClaim {
+    fn none() -> Self {
+        Self { held: None }
+    }
+
+    fn new(book: HomeBook, grant: Grant) -> Self {
+        Self {
+            held: Some((book, grant)),
+        }
+    }
+
+    /// Settles the claim; `None` says that the request has not run.
+    async fn settle(mut self, outcome: Option<Outcome>) {
+        if let Some((book, grant)) = self.held.take() {
+            book.settle(&grant, outcome).await;
+        }
+    }
+}
+
+impl Drop for HeldClaim {
+    fn drop(&mut self) {
+        if let Some((book, grant)) = self.held.take() {
+            tokio::spawn(async move { book.settle(&grant, Some(Outcome::Unknown)).await });
+        }
+    }
+}
+
+/// A slot in which a request may run.
+enum Slot {
+    /// At this agent's target.
+    Own(Permit),
+    /// At the target of another agent, through a tunnel that holds the slot.
+    Other(TcpStream),
+}
+
+impl Slot {
+    async fn connect(
+        self,
+        target: SocketAddr,
+    ) -> Result<(TargetConnection, Option<Permit>), DispatchError> {
+        match self {
+            Self::Own(permit) => {
+                let stream = dispatch::connect_target(target).await?;
+                Ok((dispatch::prepare(stream).await?, Some(permit)))
+            }
+            Self::Other(stream) => Ok((dispatch::prepare(stream).await?, None)),
+        }
+    }
 }
 
 /// What the agent knows of a request besides its content.
@@ -105,18 +169,42 @@
     connection: quinn::Connection,
     caller: SocketAddr,
     classification: Classification,
-    key: Option<Arc<str>>,
+    key: Option<Key>,
     fingerprint: u64,
     start_by_ms: Option<u64>,
     arrived_at: Instant,
 }
 
+impl Context {
+    fn ask(&self, start_by_ms: Option<u64>) -> Ask {
+        Ask {
+            class: Arc::clone(&self.classification.class),
+            caller: self.caller.ip(),
+            start_by_ms,
+            long_stream: self.classification.long_stream,
+        }
+    }
+
+    fn need(&self) -> Need {
+        Need {
+            class: Arc::clone(&self.classification.class),
+            caller: self.caller.ip(),
+        }
+    }
+}
+
 impl Handler {
-    pub fn new(shared: Arc<Shared>, slots: ActorRef<Slots>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        slots: ActorRef<Slots>,
+        book: HomeBook,
+        finder: Finder,
+    ) -> Self {
         Self {
             shared,
             slots,
-            outcomes: Arc::default(),
+            book,
+            finder,
         }
     }
 
@@ -175,92 +263,104 @@
         send: &mut SendHalf,
         receive: ReceiveHalf,
     ) -> (Ending, f64) {
-        match self.begin(context) {
-            Claim::Held => {}
-            Claim::Kept(answer) => return (self.replay(send, &answer).await, 0.0),
-            Claim::Refused(problem) => {
-                send_problem(send, &problem).await;
-                return (Ending::of(&problem), 0.0);
-            }
-        }
-        let permit = match self.admit(context).await {
-            Ok(permit) => permit,
+        let claim = match self.claim(context).await {
+            Ok(claim) => claim,
+            Err(Refused::Kept(answer)) => return (self.replay(send, &answer).await, 0.0),
+            Err(Refused::Problem(problem)) => return (give_up(send, &problem).await, 0.0),
+        };
+        let slot = match self.find_slot(context).await {
+            Ok(slot) => slot,
             Err(problem) => {
-                self.forget(context);
-                send_problem(send, &problem).await;
-                return (Ending::of(&problem), elapsed_ms(context));
+                claim.settle(None).await;
+                return (give_up(send, &problem).await, elapsed_ms(context));
             }
         };
         let queued_ms = elapsed_ms(context);
-        let ending = self.run(context, request, send, receive).await;
-        drop(permit);
+        let ending = self.run(context, slot, claim, request, send, receive).await;
         (ending, queued_ms)
     }
 
-    async fn admit(&self, context: &Context) -> Result<Permit, Problem> {
-        let ask = Ask {
-            class: Arc::clone(&context.classification.class),
-            caller: context.caller.ip(),
-            start_by_ms: context.start_by_ms,
-            long_stream: context.classification.long_stream,
-        };
-        match self.slots.ask(ask).await {
-            Ok(permit) => Ok(permit),
-            Err(kameo::error::SendError::HandlerError(refusal)) => Err(Problem::refused(refusal)),
-            Err(_) => Err(Problem::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the agent is stopping",
-            )),
-        }
-    }
-
-    /// Claims the request's key, if it has one.
-    fn begin(&self, context: &Context) -> Claim {
+    /// Asks the home of the request's key, if it has one, whether the request may run.
+    async fn claim(&self, context: &Context) -> Result<HeldClaim, Refused> {
         let Some(key) = &context.key else {
-            return Claim::Held;
+            return Ok(HeldClaim::none());
         };
-        let retention_ms = self.shared.limits().outcome_retention_ms;
-        let now_ms = self.shared.clock.now_ms();
-        let begin = self
-            .outcomes()
-            .begin(now_ms, key, context.fingerprint, retention_ms);
-        match begin {
-            Begin::Run => Claim::Held,
-            Begin::Repeat(Outcome::Answered(answer)) => Claim::Kept(answer),
-            Begin::Repeat(Outcome::Running) => Claim::Refused(
+        let refuse = |problem| Err(Refused::Problem(problem));
+        match self.book.claim(key, context.fingerprint).await {
+            Decision::Granted(grant) => Ok(HeldClaim::new(self.book.clone(), grant)),
+            Decision::Repeat(Outcome::Answered(answer)) => Err(Refused::Kept(answer)),
+            Decision::Repeat(Outcome::Running) => refuse(
                 Problem::unknown(StatusCode::CONFLICT, "a request with this key still runs")
                     .with_retry_after_ms(RETRY_WHILE_RUNNING_MS),
             ),
-            Begin::Repeat(Outcome::Unknown) => Claim::Refused(Problem::unknown(
+            Decision::Repeat(Outcome::Unknown) => refuse(Problem::unknown(
                 StatusCode::CONFLICT,
                 "a request with this key ran and its answer was lost",
             )),
-            Begin::OtherContent => Claim::Refused(Problem::not_run(
+            Decision::NoHome => refuse(Problem::unknown(
+                StatusCode::CONFLICT,
+                "whether a request with this key ran cannot be known",
+            )),
+            Decision::OtherContent => refuse(Problem::not_run(
                 StatusCode::UNPROCESSABLE_ENTITY,
                 "this key was used for another request",
             )),
-            Begin::Full => Claim::Refused(Problem::not_run(
+            Decision::Full => refuse(Problem::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "too many outcomes are kept",
             )),
         }
     }
 
+    /// Finds a slot: here if one is free, else at another agent, else here after a wait.
+    async fn find_slot(&self, context: &Context) -> Result<Slot, Problem> {
+        if context.classification.long_stream {
+            return self.local_slot(context.ask(context.start_by_ms)).await;
+        }
+        if let Ok(slot) = self.local_slot(context.ask(Some(0))).await {
+            return Ok(slot);
+        }
+        let local = self.local_slot(context.ask(context.start_by_ms));
+        tokio::pin!(local);
+        loop {
+            if let Some(stream) = self.finder.find(&context.need()).await {
+                self.shared.counters.count(Event::RequestHandedOver);
+                return Ok(Slot::Other(stream));
+            }
+            tokio::select! {
+                slot = &mut local => return slot,
+                () = time::sleep(Duration::from_millis(SEARCH_INTERVAL_MS)) => {}
+            }
+        }
+    }
+
+    async fn local_slot(&self, ask: Ask) -> Result<Slot, Problem> {
+        match self.slots.ask(ask).await {
+            Ok(permit) => Ok(Slot::Own(permit)),
+            Err(kameo::error::SendError::HandlerError(refusal)) => Err(Problem::refused(refusal)),
+            Err(_) => Err(Problem::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the agent is stopping",
+            )),
+        }
+    }
+
     async fn run(
         &self,
         context: &Context,
+        slot: Slot,
+        claim: HeldClaim,
         request: Request<()>,
         send: &mut SendHalf,
         receive: ReceiveHalf,
     ) -> Ending {
         let target = self.shared.identity.target_address;
-        let connection = match dispatch::connect(target).await {
-            Ok(connection) => connection,
+        let (connection, _permit) = match slot.connect(target).await {
+            Ok(connected) => connected,
             Err(error) => {
-                self.forget(context);
+                claim.settle(None).await;
                 let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, error.to_string());
-                send_problem(send, &problem).await;
-                return Ending::NotRun;
+                return give_up(send, &problem).await;
             }
         };
         let timeout_ms = self.shared.limits().response_timeout_ms;
@@ -271,18 +371,23 @@
             () = abandoned(context) => return Ending::Cancelled,
         };
         match result {
-            Ok(answer) => self.relay(context, answer, send).await,
+            Ok(answer) => self.relay(context, claim, answer, send).await,
             Err(error) => {
-                self.settle(context, Outcome::Unknown);
+                claim.settle(Some(Outcome::Unknown)).await;
                 let problem = Problem::unknown(unknown_status(&error), error.to_string());
-                send_problem(send, &problem).await;
-                Ending::OutcomeUnknown
+                give_up(send, &problem).await
             }
         }
     }
 
     /// Streams the target's answer to the caller, and keeps it if the request has a key.
-    async fn relay(&self, context: &Context, answer: TargetAnswer, send: &mut SendHalf) -> Ending {
+    async fn relay(
+        &self,
+        context: &Context,
+        claim: HeldClaim,
+        answer: TargetAnswer,
+        send: &mut SendHalf,
+    ) -> Ending {
         let TargetAnswer { response, .. } = &answer;
         let mut head = Response::new(());
         *head.status_mut() = response.status();
@@ -310,27 +415,7 @@
                 }
             }
         };
-        self.conclude(context, ending, keeper, send).await
-    }
-
-    async fn conclude(
-        &self,
-        context: &Context,
-        ending: Ending,
-        keeper: Keeper,
-        send: &mut SendHalf,
-    ) -> Ending {
-        if ending != Ending::Answered {
-            self.settle(context, Outcome::Unknown);
-            // A reset, so that the caller cannot take a part for the whole.
-            send.stop_stream(Code::H3_INTERNAL_ERROR);
-            return ending;
-        }
-        self.settle(context, keeper.into_outcome());
-        match send.finish().await {
-            Ok(()) => Ending::Answered,
-            Err(_) => Ending::Cancelled,
-        }
+        conclude(claim, ending, keeper, send).await
     }
 
     async fn replay(&self, send: &mut SendHalf, answer: &KeptAnswer) -> Ending {
@@ -353,24 +438,6 @@
         Ending::Repeated
     }
 
-    fn settle(&self, context: &Context, outcome: Outcome) {
-        if let Some(key) = &context.key {
-            let retention_ms = self.shared.limits().outcome_retention_ms;
-            let now_ms = self.shared.clock.now_ms();
-            self.outcomes().settle(now_ms, key, outcome, retention_ms);
-        }
-    }
-
-    fn forget(&self, context: &Context) {
-        if let Some(key) = &context.key {
-            self.outcomes().forget(key);
-        }
-    }
-
-    fn outcomes(&self) -> MutexGuard<'_, Outcomes> {
-        self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn record(&self, context: &Context, ending: Ending, queued_ms: f64) {
         let event = ending.event();
         self.shared.counters.count(event);
@@ -387,6 +454,29 @@
     }
 }
 
+/// Settles the claim and ends the answer.
+async fn conclude(claim: HeldClaim, ending: Ending, keeper: Keeper, send: &mut SendHalf) -> Ending {
+    if ending != Ending::Answered {
+        // A reset, so that the caller cannot take a part for the whole.
+        send.stop_stream(Code::H3_INTERNAL_ERROR);
+        claim.settle(Some(Outcome::Unknown)).await;
+        return ending;
+    }
+    // A home that does not answer must not hold back the end of the caller's answer.
+    let settling = tokio::spawn(claim.settle(Some(keeper.into_outcome())));
+    let _ = time::timeout(Duration::from_millis(SETTLE_WAIT_MS), settling).await;
+    match send.finish().await {
+        Ok(()) => Ending::Answered,
+        Err(_) => Ending::Cancelled,
+    }
+}
+
+/// Answers with a problem.
+async fn give_up(send: &mut SendHalf, problem: &Problem) -> Ending {
+    send_problem(send, problem).await;
+    Ending::of(problem)
+}
+
 /// Waits until nobody wants the answer: the caller has left, and no key can ask for it again.
 async fn abandoned(context: &Context) {
     context.connection.closed().await;
@@ -523,17 +613,18 @@
     }
 }
 
-fn idempotency_key(request: &Request<()>) -> Result<Option<Arc<str>>, Problem> {
+fn idempotency_key(request: &Request<()>) -> Result<Option<Key>, Problem> {
     let Some(value) = request.headers().get(IDEMPOTENCY_KEY_HEADER) else {
         return Ok(None);
     };
-    let key = value.to_str().unwrap_or_default();
-    if key.is_empty() || key.len() > MAX_KEY_LEN {
-        let detail =
-            format!("{IDEMPOTENCY_KEY_HEADER} must have 1 to {MAX_KEY_LEN} visible letters");
-        return Err(Problem::not_run(StatusCode::BAD_REQUEST, detail));
+    let refuse = |detail| Err(Problem::not_run(StatusCode::BAD_REQUEST, detail));
+    match Key::parse(value.to_str().unwrap_or_default(), unix_ms()) {
+        Ok(key) => Ok(Some(key)),
+        Err(KeyFault::NotUuid7) => refuse("idempotency-key must be a UUID of version 7"),
+        Err(KeyFault::FromTheFuture) => {
+            refuse("idempotency-key was made in the future; set the caller's clock")
+        }
     }
-    Ok(Some(key.into()))
 }
 
 fn timeout_ms(request: &Request<()>) -> Result<Option<u64>, Problem> {
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -11,6 +11,8 @@
     announcer,
     connection::serve,
     endpoint::{self, EndpointError},
+    handover::{AgentService, Finder},
+    home::HomeBook,
     request::Handler,
     slots,
     socket::AgentSocket,
@@ -19,7 +21,7 @@
 };
 use crate::{
     clock::unix_ms,
-    control::{peers::Peers, policy_cell::PolicyCell, policy_sync},
+    control::{inner_server, peers::Peers, policy_cell::PolicyCell},
     observe::{
         counters::{Counters, Event},
         metrics::{Metrics, MetricsError},
@@ -92,12 +94,13 @@
         let SocketAddr::V4(route_address) = address else {
             return NotIpv4Snafu { address }.fail();
         };
-        let identity = Identity::new(settings, agent, unix_ms());
+        let epoch_ms = unix_ms();
         let route = Route {
             agent: route_address,
             service: agent.service_number,
-            epoch: Epoch::from_ms(identity.epoch_ms),
+            epoch: Epoch::from_ms(epoch_ms),
         };
+        let identity = Identity::new(settings, agent, route, epoch_ms);
         let counters = Counters::new();
         let metrics = Metrics::new(&counters).context(MetricsSnafu)?;
         let peers = Peers::new(address, &settings.peers);
@@ -111,14 +114,18 @@
         let socket = AgentSocket::new(inner.clone(), Arc::clone(&shared), control);
         let endpoint =
             endpoint::open(socket, &settings.keys, route, &agent.tls).context(EndpointSnafu)?;
-        let handler = Handler::new(Arc::clone(&shared), slots::spawn(&shared));
+        let slots = slots::spawn(&shared);
+        let book = HomeBook::new(Arc::clone(&shared), settings.keys.clone());
+        let finder = Finder::new(Arc::clone(&shared), settings.keys.clone());
+        let service = AgentService::new(Arc::clone(&shared), slots.clone(), book.clone());
+        let handler = Handler::new(Arc::clone(&shared), slots, book, finder);
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(Arc::clone(&shared), endpoint.clone(), handler));
         tasks.spawn(announcer::run(Arc::clone(&shared), inner.clone(), received));
-        tasks.spawn(policy_sync::serve(
+        tasks.spawn(inner_server::serve(
             listener,
             settings.keys.clone(),
-            shared.policy.clone(),
+            service,
         ));
         info!(shared.log, "agent started"; "inner_address" => %address,
             "service" => %agent.service, "target_address" => %agent.target_address);
@@ -149,12 +156,7 @@
 
     /// Starts or ends a drain without stopping.
     pub fn set_draining(&self, is_draining: bool) {
-        let state = if is_draining {
-            AgentState::Draining
-        } else {
-            AgentState::Accepting
-        };
-        self.shared.set_state(state);
+        announcer::set_draining(&self.shared, is_draining);
     }
 
     /// Drains, which takes at most the policy's drain timeout, and stops.
--- a/src/agent/socket.rs
+++ b/src/agent/socket.rs
@@ -173,7 +173,7 @@
             return false;
         }
         match decide_datagram(ring, service, packet) {
-            Decision::Forward(route) => SocketAddr::V4(route.agent) == identity.inner_address,
+            Decision::Forward(route) => route.agent == identity.route.agent,
             Decision::Open | Decision::Drop(_) => false,
         }
     }
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -15,15 +15,16 @@
     clock::Clock,
     control::{
         peers::Peers,
-        policy::{self, EffectiveLimits, Scope},
+        policy::{self, DEFAULT_OUTCOME_RETENTION_MS, EffectiveLimits, Scope},
         policy_cell::PolicyCell,
     },
     observe::{counters::Counters, metrics::Metrics},
     proto::control::AgentState,
     settings::{AgentSettings, Settings},
+    wire::connection_id::Route,
 };
 
-use super::load::Smoothed;
+use super::{load::Smoothed, members::Members};
 
 /// Names of this agent and what it serves.
 #[derive(Clone, Debug)]
@@ -32,19 +33,19 @@
     pub failure_domain: Arc<str>,
     pub service: Arc<str>,
     pub service_number: u16,
-    pub inner_address: SocketAddr,
+    pub route: Route,
     pub target_address: SocketAddr,
     pub epoch_ms: u64,
 }
 
 impl Identity {
-    pub fn new(settings: &Settings, agent: &AgentSettings, epoch_ms: u64) -> Self {
+    pub fn new(settings: &Settings, agent: &AgentSettings, route: Route, epoch_ms: u64) -> Self {
         Self {
             name: Arc::clone(&settings.name),
             failure_domain: Arc::clone(&settings.failure_domain),
             service: Arc::clone(&agent.service),
             service_number: agent.service_number,
-            inner_address: settings.inner_address,
+            route,
             target_address: agent.target_address,
             epoch_ms,
         }
@@ -65,6 +66,7 @@
     running: AtomicU32,
     queued: AtomicU32,
     latency_us: Mutex<Smoothed>,
+    members: Mutex<Members>,
     sequence: AtomicU64,
 }
 
@@ -77,6 +79,7 @@
         metrics: Metrics,
         log: Logger,
     ) -> Arc<Self> {
+        let members = Members::new(identity.route.agent, DEFAULT_OUTCOME_RETENTION_MS);
         Arc::new(Self {
             identity,
             policy,
@@ -84,12 +87,13 @@
             metrics,
             clock: Clock::new(),
             log,
-            state: watch::channel(AgentState::Accepting).0,
+            state: watch::channel(AgentState::Joining).0,
             peers: Mutex::new(peers),
             connections: AtomicU32::new(0),
             running: AtomicU32::new(0),
             queued: AtomicU32::new(0),
             latency_us: Mutex::default(),
+            members: Mutex::new(members),
             sequence: AtomicU64::new(1),
         })
     }
@@ -123,6 +127,10 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -118,6 +118,7 @@
             sequence: announce.sequence,
             policy_version: self.parts.policy.version(),
             balancers: self.parts.gossip.shared_addresses(now_ms),
+            siblings: self.directory.siblings(now_ms, address, &announce),
         };
         self.parts
             .inner
@@ -358,6 +359,7 @@
     let state = match announce.state() {
         AgentState::Accepting => "accepting",
         AgentState::Draining => "draining",
+        AgentState::Joining => "joining",
         AgentState::Gone => "gone",
         AgentState::Unspecified => "unknown",
     };
--- a/src/balancer/directory.rs
+++ b/src/balancer/directory.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::{
-    proto::control::{AgentState, Announce},
+    proto::control::{AgentState, Announce, Sibling},
     wire::connection_id::{Epoch, Route},
 };
 
@@ -13,6 +13,8 @@
 pub const FRESH_FOR_MS: u64 = 2_000;
 /// Age of an announcement beyond which an agent is forgotten.
 pub const FORGET_AFTER_MS: u64 = 30_000;
+/// Agents that an acknowledgement names; a service with more needs another way to find homes.
+const MAX_SIBLINGS: usize = 64;
 /// Agents that are compared for one flow.
 const CANDIDATES: usize = 2;
 
@@ -123,6 +125,23 @@
         })
     }
 
+    /// What an announcing agent is told of the other agents of its service.
+    #[must_use]
+    pub fn siblings(
+        &self,
+        now_ms: u64,
+        address: SocketAddrV4,
+        announce: &Announce,
+    ) -> Vec<Sibling> {
+        let service = u16::try_from(announce.service_number).unwrap_or_default();
+        let others = self.entries[self.service_range(service)].iter();
+        others
+            .filter(|entry| entry.address != address && is_fresh(entry, now_ms))
+            .take(MAX_SIBLINGS)
+            .map(sibling)
+            .collect()
+    }
+
     /// Forgets agents that have been silent for long.
     pub fn expire(&mut self, now_ms: u64) {
         self.entries
@@ -165,7 +184,25 @@
     let announce = &entry.announce;
     announce.state() == AgentState::Accepting
         && announce.connections.saturating_add(entry.assigned) < announce.connection_limit
-        && now_ms.saturating_sub(entry.heard_at_ms) < FRESH_FOR_MS
+        && is_fresh(entry, now_ms)
+}
+
+fn is_fresh(entry: &Entry, now_ms: u64) -> bool {
+    now_ms.saturating_sub(entry.heard_at_ms) < FRESH_FOR_MS
+}
+
+fn sibling(entry: &Entry) -> Sibling {
+    let announce = &entry.announce;
+    Sibling {
+        ip: (*entry.address.ip()).into(),
+        port: entry.address.port().into(),
+        home_since_ms: announce.home_since_ms,
+        home_until_ms: announce.home_until_ms,
+        running: announce.running,
+        queued: announce.queued,
+        slots: announce.slots,
+        accepting: announce.state() == AgentState::Accepting,
+    }
 }
 
 /// Work per slot plus the share of connections in use.
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -18,9 +18,9 @@
     clock::{Clock, unix_ms},
     control::{
         consul_store::ConsulStore,
-        policy,
+        inner_server, policy,
         policy_cell::PolicyCell,
-        policy_sync,
+        policy_sync::PolicyService,
         store::Store,
         watcher::{self, WatchPlan},
     },
@@ -149,10 +149,11 @@
             counters: counters.clone(),
         };
         tasks.spawn(returns.run());
-        tasks.spawn(policy_sync::serve(
+        let service = PolicyService::new(policy.clone());
+        tasks.spawn(inner_server::serve(
             listener,
             settings.keys.clone(),
-            policy.clone(),
+            service,
         ));
         tasks.spawn(tick(control.clone()));
         tasks.spawn(push_policy(control.clone(), policy.clone()));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod commit;
 pub mod consul_store;
+pub mod inner_client;
+pub mod inner_server;
 pub mod memory_store;
 pub mod peers;
 pub mod policy;
--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -26,7 +26,8 @@
 const DEFAULT_QUEUE_TIMEOUT_MS: u64 = 500;
 const DEFAULT_RESPONSE_TIMEOUT_MS: u64 = 30_000;
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 3_600_000;
-const DEFAULT_OUTCOME_RETENTION_MS: u64 = 600_000;
+/// How long outcomes are kept unless the policy says otherwise.
+pub const DEFAULT_OUTCOME_RETENTION_MS: u64 = 600_000;
 
 /// The host that limits are asked for.
 #[derive(Clone, Copy, Debug)]
--- a/src/control/policy_sync.rs
+++ b/src/control/policy_sync.rs
@@ -1,45 +1,29 @@
 //! Passes the policy between processes over framed streams.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time,
-};
 
-use super::{policy, policy_cell::PolicyCell};
+use super::{
+    inner_client::{self, AskError},
+    inner_server::InnerService,
+    policy,
+    policy_cell::PolicyCell,
+};
 use crate::{
-    proto::control::{PolicyReply, PolicyRequest},
+    proto::control::{PolicyReply, PolicyRequest, inner_request::Body},
     wire::{
         frame::{FrameError, FramedStream},
         key_ring::SharedKeyRing,
     },
 };
 
-const FETCH_TIMEOUT_MS: u64 = 2_000;
-const MAX_CONCURRENT_ANSWERS: usize = 32;
-
 /// Why a policy could not be fetched.
 #[derive(Debug, Snafu)]
-pub enum FetchError {
-    /// The other process cannot be reached.
-    #[snafu(display("cannot reach {peer}: {source}"))]
-    Connect {
-        /// Address of the other process.
-        peer: SocketAddr,
-        /// The underlying error.
-        source: std::io::Error,
-    },
-    /// The exchange failed.
-    #[snafu(display("cannot fetch the policy: {source}"))]
-    Exchange {
-        /// The underlying error.
-        source: FrameError,
-    },
-    /// The exchange took too long.
-    #[snafu(display("the peer did not answer in time"))]
-    Timeout,
+#[snafu(display("cannot fetch the policy from {peer}: {source}"))]
+pub struct FetchError {
+    peer: SocketAddr,
+    source: AskError,
 }
 
 /// Fetches the policy of `peer` if it is newer, and offers it to `cell`.
@@ -52,60 +36,25 @@
     keys: SharedKeyRing,
     cell: &PolicyCell,
 ) -> Result<bool, FetchError> {
-    let exchange = exchange(peer, keys, cell);
-    time::timeout(Duration::from_millis(FETCH_TIMEOUT_MS), exchange)
-        .await
-        .unwrap_or(Err(FetchError::Timeout))
-}
-
-async fn exchange(
-    peer: SocketAddr,
-    keys: SharedKeyRing,
-    cell: &PolicyCell,
-) -> Result<bool, FetchError> {
-    let stream = TcpStream::connect(peer)
-        .await
-        .context(ConnectSnafu { peer })?;
-    let mut framed = FramedStream::connect(stream, keys)
-        .await
-        .context(ExchangeSnafu)?;
-    let request = PolicyRequest {
+    let request = Body::Policy(PolicyRequest {
         have_version: cell.version(),
-    };
-    framed.send(&request).await.context(ExchangeSnafu)?;
-    let reply: PolicyReply = framed.receive().await.context(ExchangeSnafu)?;
+    });
+    let asked = inner_client::ask(peer, keys, request).await;
+    let reply: PolicyReply = asked.context(FetchSnafu { peer })?;
     let newer = policy::decode(&reply.policy_json);
     Ok(newer.is_some_and(|policy| cell.offer(policy)))
 }
 
-/// Answers the policy requests of other processes until the listener fails.
-pub async fn serve(listener: TcpListener, keys: SharedKeyRing, cell: PolicyCell) {
-    let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONCURRENT_ANSWERS));
-    loop {
-        let Ok(permit) = std::sync::Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let (keys, cell) = (keys.clone(), cell.clone());
-        tokio::spawn(async move {
-            let answer = answer(stream, keys, cell);
-            // A peer that fails or is slow asks again.
-            let _ = time::timeout(Duration::from_millis(FETCH_TIMEOUT_MS), answer).await;
-            drop(permit);
-        });
-    }
-}
-
-async fn answer(
-    stream: TcpStream,
-    keys: SharedKeyRing,
-    cell: PolicyCell,
+/// Answers a request of the policy.
+///
+/// # Errors
+///
+/// Returns [`FrameError`] when the stream fails.
+pub async fn answer(
+    cell: &PolicyCell,
+    request: PolicyRequest,
+    mut stream: FramedStream,
 ) -> Result<(), FrameError> {
-    let mut framed = FramedStream::accept(stream, keys).await?;
-    let request: PolicyRequest = framed.receive().await?;
     let current = cell.current();
     let is_newer = current.version > request.have_version;
     let policy_json = if is_newer {
@@ -117,5 +66,28 @@
         version: current.version,
         policy_json,
     };
-    framed.send(&reply).await
+    stream.send(&reply).await
+}
+
+/// Answers requests of the policy and nothing else.
+#[derive(Clone, Debug)]
+pub struct PolicyService {
+    cell: PolicyCell,
+}
+
+impl PolicyService {
+    /// Answers with the policy of `cell`.
+    #[must_use]
+    pub fn new(cell: PolicyCell) -> Self {
+        Self { cell }
+    }
+}
+
+impl InnerService for PolicyService {
+    async fn answer(&self, body: Body, stream: FramedStream) -> Result<(), FrameError> {
+        match body {
+            Body::Policy(request) => answer(&self.cell, request, stream).await,
+            Body::Claim(_) | Body::Settle(_) | Body::Handover(_) => Ok(()),
+        }
+    }
 }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -85,6 +85,17 @@
         })
     }
 
+    /// Gives the connection back, for bytes that are not framed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError::Closed`] when the other side has sent more than was read.
+    pub fn into_stream(self) -> Result<TcpStream, FrameError> {
+        let parts = self.inner.into_parts();
+        ensure!(parts.read_buf.is_empty(), ClosedSnafu);
+        Ok(parts.io)
+    }
+
     /// Sends one message.
     ///
     /// # Errors
