--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Buf, Bytes};
+use h3::error::{Code, StreamError};
 use http::{HeaderMap, Method, Request, StatusCode};
 use quinn::{
     ClientConfig, Endpoint, EndpointConfig, TokioRuntime, crypto::rustls::QuicClientConfig,
@@ -47,14 +48,42 @@
         /// The underlying error.
         source: h3::error::ConnectionError,
     },
+    /// The head of the request could not be sent, so it has not run.
+    #[snafu(display("request not sent: {source}"))]
+    NotSent {
+        /// The underlying error.
+        source: StreamError,
+    },
     /// The request failed.
     #[snafu(display("request failed: {source}"))]
     Stream {
         /// The underlying error.
-        source: h3::error::StreamError,
+        source: StreamError,
     },
 }
 
+impl CallError {
+    /// Whether the request has not run: it was rejected, or its head never left the caller whole.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::SetUp { .. } | Self::Connect { .. } | Self::NotSent { .. } => true,
+            Self::Connection { .. } => false,
+            Self::Stream { source } => {
+                // An agent closes without error only after the last answer has arrived.
+                let is_rejected = matches!(
+                    source,
+                    StreamError::RemoteTerminate {
+                        code: Code::H3_REQUEST_REJECTED,
+                        ..
+                    }
+                );
+                is_rejected || source.is_h3_no_error()
+            }
+        }
+    }
+}
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -189,7 +218,7 @@
         requests
             .send_request(call.head())
             .await
-            .context(StreamSnafu)
+            .context(NotSentSnafu)
     }
 
     /// Whether the connection is still open.
