--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -269,11 +269,11 @@
         for balancer in &self.balancers {
             let wanted = || async {
                 let status = self.status(balancer).await;
-                let list = status["targets"].as_array().cloned().unwrap_or_default();
-                list.iter()
-                    .filter(|target| target["state"] == "accepting")
-                    .count()
-                    == targets
+                let Some(list) = status["targets"].as_array() else {
+                    return false;
+                };
+                let accepting = list.iter().filter(|target| target["state"] == "accepting");
+                accepting.count() == targets
             };
             wait_until("all targets are announced", wanted).await;
         }
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,158 @@
+//! Every fault of a settings or policy file is reported with its path, value and expectation.
+
+mod common;
+
+use bamboowind::demo::certificate::DemoCertificate;
+use common::{run_in, shown};
+use insta::assert_snapshot;
+
+const AGENT: &str = "\
+name: catalogo-1
+failure_domain: norte
+inner_address: 10.0.0.7:7000
+keys: {current_phase: 1, phases: [{phase: 1, secret_file: secret.hex}]}
+agent:
+  service: catalogo
+  service_number: 1
+  target_address: 127.0.0.1:8080
+  tls: {certificate_file: certificate.pem, private_key_file: key.pem}
+";
+
+/// Checks a document and returns what the program says of it.
+fn check(text: &str) -> String {
+    let folder = tempfile::tempdir().expect("folder");
+    let certificate = DemoCertificate::generate().expect("certificate");
+    let other = DemoCertificate::generate().expect("certificate");
+    let write = |name: &str, text: &str| {
+        std::fs::write(folder.path().join(name), text).expect("write");
+    };
+    write("secret.hex", common::SECRET_HEX);
+    write("certificate.pem", &certificate.certificate_pem);
+    write("key.pem", &certificate.private_key_pem);
+    write("other-key.pem", &other.private_key_pem);
+    write("file.yaml", text);
+    shown(&run_in(folder.path(), &["check", "file.yaml"]))
+}
+
+#[test]
+fn good_settings_are_accepted() {
+    assert_snapshot!(check(AGENT), @r"
+    exit code 0
+    --- stdout
+    file.yaml: the settings can be used
+    --- stderr
+    ");
+}
+
+#[test]
+fn unknown_keys_wrong_units_and_wrong_values_are_all_reported() {
+    let text = "\
+name: balancer-1
+failure_domain: norte
+inner_address: somewhere
+colour: green
+keys: {current_phase: 0, phases: []}
+balancer:
+  store: {url: \"http://store\", request_timeout_s: 2, watchers: many}
+  services:
+  - {name: catalogo, number: 70000, address: 10.0.0.1:4433}
+";
+    assert_snapshot!(check(text), @r#"
+    exit code 2
+    --- stdout
+    --- stderr
+    file.yaml: inner_address: found "somewhere"; expected an IP address and a port, such as 10.0.0.1:4433
+    file.yaml: colour: found an unknown key; expected one of name, region, failure_domain, inner_address, peers, keys, admin, log_level, balancer, agent
+    file.yaml: keys.current_phase: found 0; expected a whole number from 1 to 255
+    file.yaml: keys.phases: found an empty list; expected at least one entry
+    file.yaml: balancer.store.request_timeout_s: found an unknown key; expected request_timeout_ms
+    file.yaml: balancer.store.watchers: found "many"; expected a whole number from 1 to 16
+    file.yaml: balancer.services.0.number: found 70000; expected a whole number from 1 to 65535
+    "#);
+}
+
+#[test]
+fn listeners_on_one_address_and_services_with_one_number_are_reported() {
+    let text = "\
+name: balancer-1
+failure_domain: norte
+inner_address: 10.0.0.1:4433
+keys: {current_phase: 2, phases: [{phase: 1, secret_file: secret.hex}]}
+balancer:
+  services:
+  - {name: catalogo, number: 1, address: 10.0.0.1:4433}
+  - {name: sonoteca, number: 1, address: 10.0.0.1:4434}
+";
+    assert_snapshot!(check(text), @r#"
+    exit code 2
+    --- stdout
+    --- stderr
+    file.yaml: balancer.services.0.address: found 10.0.0.1:4433; expected an address other than that of inner_address
+    file.yaml: keys.current_phase: found 2; expected the number of one of keys.phases
+    file.yaml: balancer.services.1.number: found 1; expected a number that no other service has
+    "#);
+}
+
+#[test]
+fn a_key_of_another_certificate_is_reported() {
+    let text = AGENT.replace(
+        "private_key_file: key.pem",
+        "private_key_file: other-key.pem",
+    );
+    assert_snapshot!(check(&text), @r"
+    exit code 2
+    --- stdout
+    --- stderr
+    file.yaml: agent.tls.private_key_pem: found a key of another certificate; expected the key of the first certificate
+    ");
+}
+
+#[test]
+fn an_exception_without_reason_or_scope_is_reported() {
+    let text = "\
+defaults: {slots: 5, drain_timeout_min: 60}
+exceptions:
+- {name: slow-disk, host: catalogo-3, limits: {slots: 2}}
+- {name: everywhere, reason: a trial, limits: {slots: 1000000}}
+rules:
+- {path_prefix: /scan, class: urgent}
+";
+    assert_snapshot!(check(text), @r"
+    exit code 2
+    --- stdout
+    --- stderr
+    file.yaml: defaults.drain_timeout_min: found an unknown key; expected drain_timeout_ms
+    file.yaml: exceptions.0.reason: found nothing; expected text
+    file.yaml: exceptions.1.limits.slots: found 1000000; expected a whole number from 1 to 100000
+    ");
+}
+
+#[test]
+fn wrong_use_of_the_command_line_has_exit_code_2() {
+    let folder = tempfile::tempdir().expect("folder");
+    let run = |arguments: &[&str]| shown(&run_in(folder.path(), arguments));
+    assert_snapshot!(run(&["balance"]), @r#"
+    exit code 2
+    --- stdout
+    --- stderr
+    bamboowind: unexpected argument: "balance"; see `bamboowind --help`
+    "#);
+    assert_snapshot!(run(&["check", "missing.yaml"]), @r"
+    exit code 2
+    --- stdout
+    --- stderr
+    bamboowind: cannot read missing.yaml: No such file or directory (os error 2); check the path
+    ");
+    assert_snapshot!(run(&["status"]), @r"
+    exit code 2
+    --- stdout
+    --- stderr
+    bamboowind: no administration API is given; use --admin URL or set BAMBOOWIND_ADMIN
+    ");
+    assert_snapshot!(run(&["policy", "except", "slow", "--admin", "http://127.0.0.1:1"]), @r"
+    exit code 2
+    --- stdout
+    --- stderr
+    bamboowind: an exception needs --reason with the written reason; see `bamboowind --help`
+    ");
+}
