Tell callers of a dead agent at once, and keep two homes from deciding

Cause 1: callers of a killed agent waited for their idle timeout of 30 s. A balancer now examines an agent that has been silent for 1.2 s; a refused TCP connection proves that no process holds its port, and its flows are answered with stateless resets under the common key. A frozen agent accepts the connection and is left alone.

Cause 2: a property test of homes failed: an agent that woke took another for gone for ever, after hearing nothing while it was frozen itself, and both decided on a key. The end that silence assumes is now lifted when the member is heard again in the same term.

--- a/src/agent/members.rs
+++ b/src/agent/members.rs
@@ -39,11 +39,29 @@
     address: SocketAddrV4,
     since_ms: u64,
     until_ms: Option<u64>,
+    /// End that is assumed because the agent is not heard; it is lifted when it is heard again.
+    silent_from_ms: Option<u64>,
 }
 
 impl Term {
+    fn new(address: SocketAddrV4, since_ms: u64, until_ms: Option<u64>) -> Self {
+        Self {
+            address,
+            since_ms,
+            until_ms,
+            silent_from_ms: None,
+        }
+    }
+
+    fn end_ms(&self) -> Option<u64> {
+        [self.until_ms, self.silent_from_ms]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
     fn covers(&self, birth_ms: u64) -> bool {
-        self.since_ms <= birth_ms && self.until_ms.is_none_or(|until_ms| birth_ms < until_ms)
+        self.since_ms <= birth_ms && self.end_ms().is_none_or(|end_ms| birth_ms < end_ms)
     }
 }
 
@@ -115,11 +133,7 @@
         if self.own_since_ms.is_none() && self.own_until_ms.is_none() {
             let since_ms = now_ms + JOIN_DELAY_MS;
             self.own_since_ms = Some(since_ms);
-            self.terms.push(Term {
-                address: self.own,
-                since_ms,
-                until_ms: None,
-            });
+            self.terms.push(Term::new(self.own, since_ms, None));
         }
     }
 
@@ -195,16 +209,13 @@
         if let Some(term) = self.terms.iter_mut().find(is_known) {
             let ends = [term.until_ms, notice.home_until_ms];
             term.until_ms = ends.into_iter().flatten().min();
+            term.silent_from_ms = None;
             return;
         }
         // A member that was away and comes back begins a new term.
         self.end_term(notice.address, since_ms);
-        let until_ms = notice.home_until_ms;
-        self.terms.push(Term {
-            address: notice.address,
-            since_ms,
-            until_ms,
-        });
+        self.terms
+            .push(Term::new(notice.address, since_ms, notice.home_until_ms));
     }
 
     /// Ends the terms of silent members and forgets terms that no living key can need.
@@ -217,12 +228,14 @@
             .collect();
         for seen in silent {
             let address = seen.notice.address;
-            self.end_term(address, seen.seen_at_ms + MEMBER_TIMEOUT_MS);
+            let silent_from_ms = Some(seen.seen_at_ms + MEMBER_TIMEOUT_MS);
+            let terms = self.terms.iter_mut().filter(|term| term.address == address);
+            terms.for_each(|term| term.silent_from_ms = term.silent_from_ms.or(silent_from_ms));
             self.seen.retain(|other| other.notice.address != address);
         }
         let oldest_ms = self.forget_old(now_ms);
         self.terms
-            .retain(|term| term.until_ms.is_none_or(|until_ms| until_ms >= oldest_ms));
+            .retain(|term| term.end_ms().is_none_or(|end_ms| end_ms >= oldest_ms));
     }
 
     fn end_term(&mut self, address: SocketAddrV4, until_ms: u64) {
--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use kameo::{
     Actor,
+    actor::ActorRef,
     message::{Context, Message},
 };
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,7 @@
 use super::{
     directory::{AnnounceOutcome, Directory, Entry},
     gossip::Gossip,
+    lost::{self, DeathRegister, EXAMINE_AFTER_MS},
     retry::{Answer, Responder},
     returns::OuterSocket,
 };
@@ -28,7 +30,10 @@
     },
     proto::control::{AgentState, Announce, AnnounceAck, DrainOrder, control::Body},
     settings::ServiceSettings,
-    wire::transport::{InnerLink, transmit},
+    wire::{
+        connection_id::Epoch,
+        transport::{InnerLink, transmit},
+    },
 };
 
 /// Time after start in which a first packet that finds no agent is dropped instead of refused,
@@ -46,6 +51,8 @@
     pub services: Vec<ServiceSettings>,
     /// Answers first packets.
     pub responder: Responder,
+    /// Agents that are known to be dead.
+    pub deaths: DeathRegister,
     /// The other balancers.
     pub gossip: Gossip,
     /// The policy in force.
@@ -133,6 +140,34 @@
         }
     }
 
+    /// Looks whether the agents that have fallen silent are dead.
+    fn examine_silent(&self, now_ms: u64, control: &ActorRef<Self>) {
+        let entries = self.directory.entries().iter();
+        let silent = entries.filter(|entry| now_ms >= entry.heard_at_ms + EXAMINE_AFTER_MS);
+        for entry in silent {
+            let died = Died {
+                address: entry.address,
+                epoch_ms: entry.announce.epoch_ms,
+            };
+            let control = control.clone();
+            tokio::spawn(async move {
+                if lost::is_refused(died.address).await {
+                    // A message that finds no room is sent again after the next look.
+                    let _ = control.tell(died).try_send();
+                }
+            });
+        }
+    }
+
+    /// Sends what the responder wrote for a caller.
+    fn send_answer(&mut self, service: u16, caller: SocketAddr, answer: Vec<u8>) {
+        if let (Some(outer), false) = (self.outer(service), answer.is_empty()) {
+            // A lost answer is repeated when the caller repeats its packet.
+            let _ = outer.socket.try_send(&transmit(caller, &answer, None));
+        }
+        self.answer = answer;
+    }
+
     /// Fetches the policy from a peer that has a newer one.
     fn fetch_policy(&self, peer: SocketAddr, version: u64) {
         if version <= self.parts.policy.version() {
@@ -186,13 +221,54 @@
             }
             Answer::Other | Answer::Nothing => {}
         }
-        if let (Some(outer), false) = (self.outer(first.service), answer.is_empty()) {
-            // A lost answer is repeated when the caller repeats its packet.
-            let _ = outer
-                .socket
-                .try_send(&transmit(first.caller, &answer, None));
+        self.send_answer(first.service, first.caller, answer);
+    }
+}
+
+/// A packet of a flow whose agent is dead.
+pub struct LostPacket {
+    /// Number of the service.
+    pub service: u16,
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// The datagram.
+    pub packet: BytesMut,
+}
+
+impl Message<LostPacket> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, lost: LostPacket, _: &mut Context<Self, ()>) {
+        let mut answer = std::mem::take(&mut self.answer);
+        let kind = self
+            .parts
+            .responder
+            .answer_lost(lost.caller, lost.packet, &mut answer);
+        if kind != Answer::Nothing {
+            self.parts.counters.count(Event::ResetSent);
+        }
+        self.send_answer(lost.service, lost.caller, answer);
+    }
+}
+
+/// An agent's process has ended.
+pub struct Died {
+    /// Inner address of the agent.
+    pub address: SocketAddrV4,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub epoch_ms: u64,
+}
+
+impl Message<Died> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, died: Died, _: &mut Context<Self, ()>) {
+        if self.directory.forget(died.address, died.epoch_ms) {
+            self.parts
+                .deaths
+                .note(died.address, Epoch::from_ms(died.epoch_ms));
+            warn!(self.parts.log, "target lost"; "address" => %died.address);
         }
-        self.answer = answer;
     }
 }
 
@@ -228,9 +304,10 @@
 impl Message<Tick> for Control {
     type Reply = ();
 
-    async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
         let now_ms = self.parts.clock.now_ms();
         self.directory.expire(now_ms);
+        self.examine_silent(now_ms, context.actor_ref());
         self.parts
             .gossip
             .send_heartbeats(&self.parts.inner, self.parts.policy.version(), now_ms);
--- a/src/balancer/directory.rs
+++ b/src/balancer/directory.rs
@@ -142,6 +142,14 @@
             .collect()
     }
 
+    /// Forgets a process that has ended, unless its address has a newer one.
+    pub fn forget(&mut self, address: SocketAddrV4, epoch_ms: u64) -> bool {
+        let before = self.entries.len();
+        self.entries
+            .retain(|entry| entry.address != address || entry.announce.epoch_ms != epoch_ms);
+        self.entries.len() < before
+    }
+
     /// Forgets agents that have been silent for long.
     pub fn expire(&mut self, now_ms: u64) {
         self.entries
--- a/src/balancer/forward.rs
+++ b/src/balancer/forward.rs
@@ -6,7 +6,8 @@
 use kameo::actor::ActorRef;
 
 use super::{
-    control::{Control, FirstPacket},
+    control::{Control, FirstPacket, LostPacket},
+    lost::DeathRegister,
     route::{Decision, DropReason, decide_datagram},
 };
 use crate::{
@@ -33,6 +34,8 @@
     pub inner: InnerLink,
     /// Takes the packets that may open a flow.
     pub control: ActorRef<Control>,
+    /// Agents that are known to be dead.
+    pub deaths: DeathRegister,
     /// Counts what happens.
     pub counters: Counters,
 }
@@ -65,6 +68,7 @@
             return;
         }
         match decide_datagram(ring, self.service, packet) {
+            Decision::Forward(route) if self.deaths.is_dead(&route) => self.report(caller, packet),
             Decision::Forward(route) => self.forward(ring, caller, route, packet, pending).await,
             Decision::Open => self.open(caller, packet),
             Decision::Drop(reason) => self.counters.count(drop_event(reason)),
@@ -103,6 +107,18 @@
         pending.clear();
     }
 
+    /// Has a packet of a lost flow answered.
+    fn report(&self, caller: SocketAddr, packet: &[u8]) {
+        let message = LostPacket {
+            service: self.service,
+            caller,
+            packet: BytesMut::from(packet),
+        };
+        if self.control.tell(message).try_send().is_err() {
+            self.counters.count(Event::DroppedOverload);
+        }
+    }
+
     fn open(&self, caller: SocketAddr, packet: &[u8]) {
         let message = FirstPacket {
             service: self.service,
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 pub mod directory;
 mod forward;
 mod gossip;
+pub mod lost;
 pub mod retry;
 mod returns;
 pub mod route;
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Writes a stateless reset for a packet of a flow whose agent is dead.
+    /// Writes a stateless reset for a packet of a flow whose agent is dead, or a refusal while the
+    /// flow is still being opened.
     pub fn answer_lost(
         &mut self,
         caller: SocketAddr,
@@ -139,8 +140,9 @@
         {
             Some(DatagramEvent::Response(_)) => Answer::Other,
             Some(DatagramEvent::NewConnection(incoming)) => {
-                self.endpoint.ignore(incoming);
-                Answer::Nothing
+                out.clear();
+                let _ = self.endpoint.refuse(incoming, out);
+                Answer::Refusal
             }
             Some(DatagramEvent::ConnectionEvent(..)) | None => Answer::Nothing,
         }
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -11,6 +11,7 @@
     control::{Control, ControlParts, Leave, PolicyChanged, Tick},
     forward::Forwarder,
     gossip::Gossip,
+    lost::DeathRegister,
     retry::{Responder, RetryError},
     returns::{OuterSocket, Returns},
 };
@@ -113,11 +114,13 @@
             .context(BindSnafu {
                 address: settings.inner_address,
             })?;
+        let deaths = DeathRegister::new();
         let parts = ControlParts {
             inner: inner.clone(),
             outer: outer.clone(),
             services: balancer.services.clone(),
             responder: Responder::new(&settings.keys).context(ResponderSnafu)?,
+            deaths: deaths.clone(),
             gossip: Gossip::new(
                 settings.inner_address,
                 &settings.peers,
@@ -138,6 +141,7 @@
                 outer: Arc::clone(&socket.socket),
                 inner: inner.clone(),
                 control: control.clone(),
+                deaths: deaths.clone(),
                 counters: counters.clone(),
             };
             tasks.spawn(forwarder.run());
