Even out the use of targets below full load

Ways weighed: moving flows (breaks them), a lower threshold for hand-over (acts on noise of reports 500 ms old). Chosen: each agent announces its use smoothed over 2 s; the share of requests that goes elsewhere is the share of use above the mean.

--- a/benches/choosing.rs
+++ b/benches/choosing.rs
@@ -17,6 +17,7 @@
 
 use bamboowind::agent::{
     admission::{Admission, AdmissionLimits, Effect, Finished, Ticket, Verdict},
+    load::Utilisation,
     members::{Members, Notice},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -29,11 +30,13 @@
 const MEAN_SERVICE_US: f64 = 10_000.0;
 const REPORT_INTERVAL_US: u64 = 1_000_000;
 const ANNOUNCE_INTERVAL_US: u64 = 500_000;
+const OBSERVE_INTERVAL_MS: u32 = 10;
 const ASK_US: u64 = 500;
 const SEARCH_INTERVAL_US: u64 = 2_000;
 const MAX_ASKED: usize = 3;
 const MAX_SEARCHES: usize = 4;
-const FLOWS_PER_SLOT: usize = 8;
+const MANY_FLOWS: f64 = 8.0;
+const FEW_FLOWS: f64 = 0.8;
 const STRAGGLER_FACTOR: u64 = 4;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,6 +65,7 @@
     slots: u32,
     load: f64,
     has_straggler: bool,
+    flows_per_slot: f64,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -83,6 +87,11 @@
     Announce {
         host: usize,
     },
+    Observe,
+    ArriveElsewhere {
+        request: usize,
+        other: usize,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -101,6 +110,7 @@
     reported: u32,
     busy_us: u64,
     searches: usize,
+    utilisation: Utilisation,
 }
 
 struct Model {
@@ -141,8 +151,10 @@
             reported: 0,
             busy_us: 0,
             searches: 0,
+            utilisation: Utilisation::default(),
         });
-        let flows = scene.hosts * usize::try_from(scene.slots).expect("few slots") * FLOWS_PER_SLOT;
+        let slots = scene.hosts as f64 * f64::from(scene.slots);
+        let flows = (slots * scene.flows_per_slot).round() as usize;
         let mut model = Self {
             scene,
             way,
@@ -160,6 +172,7 @@
         };
         model.push(0, Event::Arrive);
         model.push(0, Event::Report);
+        model.push(0, Event::Observe);
         for host in 0..scene.hosts {
             let phase_us = ANNOUNCE_INTERVAL_US * host as u64 / scene.hosts as u64;
             model.push(phase_us, Event::Announce { host });
@@ -189,6 +202,8 @@
                 } => self.ask(request, host, asked),
                 Event::Search { request } => self.search(request),
                 Event::Report => self.report(),
+                Event::Observe => self.observe(),
+                Event::ArriveElsewhere { request, other } => self.arrive_elsewhere(request, other),
                 Event::Announce { host } => self.announce(host),
             }
         }
@@ -347,6 +362,25 @@
     }
 
     fn admit(&mut self, request: usize) {
+        let home = self.requests[request].home;
+        let draw = self.random.random();
+        let host = &self.hosts[home];
+        if let Some(address) = host.members.even_out(host.utilisation, draw) {
+            let other = usize::from(address.ip().octets()[3]);
+            self.push(ASK_US, Event::ArriveElsewhere { request, other });
+            return;
+        }
+        self.admit_here(request);
+    }
+
+    /// Tries the host that a request was sent to, and goes on at its own when that is full.
+    fn arrive_elsewhere(&mut self, request: usize, other: usize) {
+        if !self.try_start(other, request) {
+            self.admit_here(request);
+        }
+    }
+
+    fn admit_here(&mut self, request: usize) {
         let home = self.requests[request].home;
         if self.try_start(home, request) {
             return;
@@ -442,6 +476,14 @@
         }
     }
 
+    fn observe(&mut self) {
+        for host in &mut self.hosts {
+            host.utilisation
+                .observe(host.running, self.scene.slots, OBSERVE_INTERVAL_MS);
+        }
+        self.push(u64::from(OBSERVE_INTERVAL_MS) * 1_000, Event::Observe);
+    }
+
     fn report(&mut self) {
         for host in &mut self.hosts {
             host.reported = host.running + u32::try_from(host.queue.len()).unwrap_or(u32::MAX);
@@ -459,6 +501,7 @@
             work: admission.running() + admission.waiting(),
             slots: self.scene.slots,
             is_accepting: true,
+            utilisation: self.hosts[host].utilisation,
         };
         let now_ms = self.now_us / 1_000;
         for other in &mut self.hosts {
@@ -474,29 +517,35 @@
 }
 
 fn main() {
+    let plain = |name, hosts, slots, load| Scene {
+        name,
+        hosts,
+        slots,
+        load,
+        has_straggler: false,
+        flows_per_slot: MANY_FLOWS,
+    };
     let mut scenes = Vec::new();
-    for (name, hosts, slots) in [
+    let services = [
         ("catalogo", 7, 5),
         ("sonoteca", 3, 5),
         ("tracker", 7, 3),
         ("inspect", 3, 3),
-    ] {
+    ];
+    for (name, hosts, slots) in services {
         for load in [0.5, 0.8, 0.95] {
-            scenes.push(Scene {
-                name,
-                hosts,
-                slots,
-                load,
-                has_straggler: false,
-            });
+            scenes.push(plain(name, hosts, slots, load));
         }
     }
+    let few = plain("inspect, fewer flows than slots", 3, 3, 0.65);
+    scenes.push(Scene {
+        flows_per_slot: FEW_FLOWS,
+        ..few
+    });
+    let slow = plain("catalogo, one host four times slower", 7, 5, 0.6);
     scenes.push(Scene {
-        name: "catalogo, one host four times slower",
-        hosts: 7,
-        slots: 5,
-        load: 0.6,
         has_straggler: true,
+        ..slow
     });
     for scene in scenes {
         println!("{} at {:.0}% load", scene.name, scene.load * 100.0);
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use tokio::{sync::mpsc, time};
 
-use super::{members::Notice, socket::Received, state::Shared};
+use super::{load::Utilisation, members::Notice, socket::Received, state::Shared};
 use crate::{
     clock::unix_ms,
     control::policy_sync,
@@ -84,6 +84,7 @@
         policy_version: shared.policy.version(),
         home_since_ms: since_ms.unwrap_or_default(),
         home_until_ms: until_ms.unwrap_or_default(),
+        utilisation_permille: shared.utilisation().permille(),
     };
     inner.send_control(balancer, Body::Announce(announce));
 }
@@ -151,6 +152,7 @@
         work: sibling.running.saturating_add(sibling.queued),
         slots: sibling.slots,
         is_accepting: sibling.accepting,
+        utilisation: Utilisation::from_permille(sibling.utilisation_permille),
     })
 }
 
--- a/src/agent/handover.rs
+++ b/src/agent/handover.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Returns a connection to a target that is used less than this one, now and then.
+    pub async fn even_out(&self, need: &Need) -> Option<TcpStream> {
+        let own = self.shared.utilisation();
+        let address = self.shared.members().even_out(own, rand::random())?;
+        self.ask(address, need).await
+    }
+
     /// Returns a connection to a target whose agent holds a slot for the request.
     ///
     /// What is known of other agents may be old, so that also agents thought to be full are asked;
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -1,5 +1,9 @@
 //! Smoothed measurements of a target's load.
 
+/// Time over which the utilisation is smoothed.
+const UTILISATION_WINDOW_MS: f64 = 2_000.0;
+const PERMILLE: f64 = 1_000.0;
+
 /// Weight of a new sample is one part in this many.
 const SMOOTHING: u64 = 8;
 
@@ -33,3 +37,43 @@
         self.value.unwrap_or_default()
     }
 }
+
+/// Share of a target's slots in use, between 0 and 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Utilisation(f64);
+
+impl Utilisation {
+    /// Makes a utilisation from thousandths.
+    #[must_use]
+    pub fn from_permille(permille: u32) -> Self {
+        Self(f64::from(permille) / PERMILLE)
+    }
+
+    /// The utilisation in thousandths.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Between 0 and 1,000.
+    pub fn permille(self) -> u32 {
+        (self.0 * PERMILLE).round() as u32
+    }
+
+    /// Takes in that `running` of `slots` were in use for the last `elapsed_ms`.
+    ///
+    /// ```
+    /// use bamboowind::agent::load::Utilisation;
+    ///
+    /// let mut utilisation = Utilisation::default();
+    /// (0..1_000).for_each(|_| utilisation.observe(4, 5, 10));
+    /// assert!((790..=800).contains(&utilisation.permille()));
+    /// ```
+    pub fn observe(&mut self, running: u32, slots: u32, elapsed_ms: u32) {
+        let current = (f64::from(running) / f64::from(slots.max(1))).min(1.0);
+        let weight = (f64::from(elapsed_ms) / UTILISATION_WINDOW_MS).min(1.0);
+        self.0 += (current - self.0) * weight;
+    }
+
+    /// The utilisation as a number between 0 and 1.
+    #[must_use]
+    pub fn value(self) -> f64 {
+        self.0
+    }
+}
--- a/src/agent/members.rs
+++ b/src/agent/members.rs
@@ -6,6 +6,8 @@
 
 use std::net::SocketAddrV4;
 
+use super::load::Utilisation;
+
 /// Time between an agent's first acknowledgement and the birth of the first key that may have its
 /// home there, and between its leaving and the birth of the first key that may not.
 pub const JOIN_DELAY_MS: u64 = 2_000;
@@ -13,11 +15,13 @@
 pub const FENCE_AFTER_MS: u64 = 1_200;
 /// Time without news of a member after which newer keys have their home elsewhere.
 pub const MEMBER_TIMEOUT_MS: u64 = 3_000;
+/// Share of a target's use above the mean that is left as it is.
+const TOLERATED_SURPLUS: f64 = 0.02;
 /// How far a key's birth may lie in the future.
 pub const MAX_CLOCK_ERROR_MS: u64 = 10_000;
 
 /// An agent as it announces itself to the others.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Notice {
     /// Inner address of the agent.
     pub address: SocketAddrV4,
@@ -31,6 +35,8 @@
     pub slots: u32,
     /// Whether requests may be handed over to it.
     pub is_accepting: bool,
+    /// Share of its slots in use, smoothed over seconds.
+    pub utilisation: Utilisation,
 }
 
 /// A time in which an agent is the home of the keys that are born.
@@ -289,6 +295,40 @@
         rooms
     }
 
+    /// The agent that a request should go to although there is a slot here, to even out the use of
+    /// the targets; `draw` is a random number between 0 and 1.
+    ///
+    /// The share of requests that go elsewhere is the share of this target's use above the mean, and
+    /// they go to the others by how far each lies below it.
+    #[must_use]
+    pub fn even_out(&self, own: Utilisation, draw: f64) -> Option<SocketAddrV4> {
+        let others = self
+            .seen
+            .iter()
+            .map(|seen| seen.notice)
+            .filter(|notice| notice.is_accepting);
+        let others: Vec<(SocketAddrV4, f64)> = others
+            .map(|notice| (notice.address, notice.utilisation.value()))
+            .collect();
+        let members = f64::from(u32::try_from(others.len() + 1).ok()?);
+        let sum: f64 = others.iter().map(|(_, used)| used).sum();
+        let mean = (sum + own.value()) / members;
+        let surplus = own.value() - mean;
+        if surplus <= own.value() * TOLERATED_SURPLUS {
+            return None;
+        }
+        let deficits: f64 = others.iter().map(|(_, used)| (mean - used).max(0.0)).sum();
+        // The draw first decides whether the request goes, and then, stretched, where to.
+        let mut left = draw * own.value() / surplus * deficits;
+        for (address, used) in others {
+            left -= (mean - used).max(0.0);
+            if left < 0.0 {
+                return Some(address);
+            }
+        }
+        None
+    }
+
     /// Corrects what is known of another agent's work after asking it.
     pub fn correct_work(&mut self, address: SocketAddrV4, work: u32) {
         if let Ok(index) = self
--- a/src/agent/request.rs
+++ b/src/agent/request.rs
@@ -313,11 +313,16 @@
         }
     }
 
-    /// Finds a slot: here if one is free, else at another agent, else here after a wait.
+    /// Finds a slot: at a target that is used less, else here if one is free, else at another
+    /// agent, else here after a wait.
     async fn find_slot(&self, context: &Context) -> Result<Slot, Problem> {
         if context.classification.long_stream {
             return self.local_slot(context.ask(context.start_by_ms)).await;
         }
+        if let Some(stream) = self.finder.even_out(&context.need()).await {
+            self.shared.counters.count(Event::RequestHandedOver);
+            return Ok(Slot::Other(stream));
+        }
         if let Ok(slot) = self.local_slot(context.ask(Some(0))).await {
             return Ok(slot);
         }
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -19,7 +19,7 @@
     state::Shared,
 };
 
-const TICK_INTERVAL_MS: u64 = 10;
+const TICK_INTERVAL_MS: u32 = 10;
 
 /// Hands out slots in the order that [`Admission`] decides.
 #[derive(Actor)]
@@ -89,7 +89,7 @@
 }
 
 async fn tick(slots: ActorRef<Slots>) {
-    let mut interval = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
+    let mut interval = time::interval(Duration::from_millis(TICK_INTERVAL_MS.into()));
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
@@ -199,7 +199,10 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
-        self.admission.set_limits(admission_limits(&self.shared));
+        let limits = admission_limits(&self.shared);
+        self.shared
+            .observe_utilisation(limits.slots, TICK_INTERVAL_MS);
+        self.admission.set_limits(limits);
         self.settle();
     }
 }
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -24,7 +24,10 @@
     wire::connection_id::Route,
 };
 
-use super::{load::Smoothed, members::Members};
+use super::{
+    load::{Smoothed, Utilisation},
+    members::Members,
+};
 
 /// Names of this agent and what it serves.
 #[derive(Clone, Debug)]
@@ -67,6 +70,7 @@
     queued: AtomicU32,
     latency_us: Mutex<Smoothed>,
     members: Mutex<Members>,
+    utilisation: Mutex<Utilisation>,
     sequence: AtomicU64,
 }
 
@@ -94,6 +98,7 @@
             queued: AtomicU32::new(0),
             latency_us: Mutex::default(),
             members: Mutex::new(members),
+            utilisation: Mutex::default(),
             sequence: AtomicU64::new(1),
         })
     }
@@ -152,6 +157,21 @@
         self.queued.store(queued, Ordering::Relaxed);
     }
 
+    pub fn observe_utilisation(&self, slots: u32, elapsed_ms: u32) {
+        let mut utilisation = self
+            .utilisation
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        utilisation.observe(self.running(), slots, elapsed_ms);
+    }
+
+    pub fn utilisation(&self) -> Utilisation {
+        *self
+            .utilisation
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn running(&self) -> u32 {
         self.running.load(Ordering::Relaxed)
     }
--- a/src/balancer/directory.rs
+++ b/src/balancer/directory.rs
@@ -210,6 +210,7 @@
         queued: announce.queued,
         slots: announce.slots,
         accepting: announce.state() == AgentState::Accepting,
+        utilisation_permille: announce.utilisation_permille,
     }
 }
 
--- a/src/proto/control.rs
+++ b/src/proto/control.rs
@@ -78,6 +78,9 @@
     /// Birth time from which keys have their home elsewhere; zero for no end.
     #[prost(uint64, tag = "16")]
     pub home_until_ms: u64,
+    /// Share of the slots in use, smoothed over seconds, in thousandths.
+    #[prost(uint32, tag = "17")]
+    pub utilisation_permille: u32,
 }
 /// Another agent of the same service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -106,6 +109,9 @@
     /// Whether requests may be handed over to it.
     #[prost(bool, tag = "8")]
     pub accepting: bool,
+    /// Share of its slots in use, smoothed over seconds, in thousandths.
+    #[prost(uint32, tag = "9")]
+    pub utilisation_permille: u32,
 }
 /// Answer to an announcement.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -5,6 +5,7 @@
 use bamboowind::{
     agent::{
         admission::{Admission, AdmissionLimits, Effect, Finished, Ticket, Verdict},
+        load::Utilisation,
         members::{Home, JOIN_DELAY_MS, Members, Notice},
         outcomes::{Begin, Claim, Outcomes},
     },
@@ -375,6 +376,7 @@
         work: 0,
         slots: 5,
         is_accepting: true,
+        utilisation: Utilisation::default(),
     }
 }
 
