--- a/src/balancer/directory.rs
+++ b/src/balancer/directory.rs
@@ -74,18 +74,16 @@
             return AnnounceOutcome::Stale;
         };
         let age = |announce: &Announce| (announce.epoch_ms, announce.sequence);
-        let known = self.entries.iter().find(|entry| entry.address == address);
-        if known.is_some_and(|entry| age(&entry.announce) >= age(&announce)) {
-            return AnnounceOutcome::Stale;
-        }
-        let outcome = match known {
-            None => AnnounceOutcome::Added,
-            Some(entry) if entry.announce.epoch_ms != announce.epoch_ms => AnnounceOutcome::Added,
-            Some(entry) if entry.announce.state != announce.state => AnnounceOutcome::StateChanged,
+        let known = self.position(service, address);
+        let outcome = match known.map(|index| &self.entries[index].announce) {
+            Some(other) if age(other) >= age(&announce) => return AnnounceOutcome::Stale,
+            Some(other) if other.epoch_ms != announce.epoch_ms => AnnounceOutcome::Added,
+            Some(other) if other.state != announce.state => AnnounceOutcome::StateChanged,
             Some(_) => AnnounceOutcome::Updated,
+            None => AnnounceOutcome::Added,
         };
-        self.entries.retain(|entry| entry.address != address);
         if announce.state() == AgentState::Gone {
+            known.map(|index| self.entries.remove(index));
             return AnnounceOutcome::StateChanged;
         }
         let entry = Entry {
@@ -97,11 +95,34 @@
             heard_at_ms: now_ms,
             assigned: 0,
         };
-        let index = self.search(service, address).unwrap_or_else(|index| index);
-        self.entries.insert(index, entry);
+        self.put(known, entry);
         outcome
     }
 
+    /// Index of an address, under whatever service it was known.
+    fn position(&self, service: u16, address: SocketAddrV4) -> Option<usize> {
+        let elsewhere = || {
+            self.entries
+                .iter()
+                .position(|entry| entry.address == address)
+        };
+        self.search(service, address).ok().or_else(elsewhere)
+    }
+
+    fn put(&mut self, known: Option<usize>, entry: Entry) {
+        if let Some(index) = known {
+            if self.entries[index].service == entry.service {
+                self.entries[index] = entry;
+                return;
+            }
+            self.entries.remove(index);
+        }
+        let index = self
+            .search(entry.service, entry.address)
+            .unwrap_or_else(|index| index);
+        self.entries.insert(index, entry);
+    }
+
     /// Chooses an agent for a new flow: the less loaded of two drawn at random.
     pub fn choose<R: Rng>(&mut self, now_ms: u64, service: u16, random: &mut R) -> Option<Route> {
         let range = self.service_range(service);
