Keep the store's calls from growing with the balancers

Change: heartbeats carry the age of the latest contact with the store that the sender can hear of; a balancer leaves the store alone while that is below 20 s. Parts that are cut off from each other find their own watchers.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -94,6 +94,7 @@
         policy_version: 120_000,
         balancers,
         leaving: false,
+        store_contact_age_ms: Some(1_000),
     };
     println!(
         "bytes with envelope: announcement {}, acknowledgement with {} siblings {}, heartbeat {}",
--- a/src/balancer/gossip.rs
+++ b/src/balancer/gossip.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::{
-    control::peers::Peers,
+    control::{peers::Peers, store_contact::StoreContact},
     proto::control::{Heartbeat, control::Body},
     wire::transport::InnerLink,
 };
@@ -23,6 +23,7 @@
     name: Arc<str>,
     failure_domain: Arc<str>,
     epoch_ms: u64,
+    contact: StoreContact,
 }
 
 impl Gossip {
@@ -34,6 +35,7 @@
         name: Arc<str>,
         failure_domain: Arc<str>,
         epoch_ms: u64,
+        contact: StoreContact,
     ) -> Self {
         Self {
             peers: Peers::new(own, seeds),
@@ -41,6 +43,7 @@
             name,
             failure_domain,
             epoch_ms,
+            contact,
         }
     }
 
@@ -51,6 +54,9 @@
             return;
         }
         self.peers.heard(source, now_ms);
+        if let Some(age_ms) = heartbeat.store_contact_age_ms {
+            self.contact.heard(now_ms, age_ms);
+        }
         let named = heartbeat.balancers.iter();
         self.peers.learn(named.filter_map(|text| text.parse().ok()));
         self.peers.expire(now_ms);
@@ -76,7 +82,8 @@
     /// Sends a heartbeat to some balancers drawn at random.
     pub fn send_heartbeats(&mut self, inner: &InnerLink, policy_version: u64, now_ms: u64) {
         let known = self.peers.known();
-        let heartbeat = self.heartbeat(policy_version, self.shared_addresses(now_ms), false);
+        let mut heartbeat = self.heartbeat(policy_version, self.shared_addresses(now_ms), false);
+        heartbeat.store_contact_age_ms = self.contact.age_ms(now_ms);
         for &peer in known.choose_multiple(&mut rand::rng(), FANOUT) {
             inner.send_control(peer, Body::Heartbeat(heartbeat.clone()));
         }
@@ -103,6 +110,7 @@
             policy_version,
             balancers,
             leaving,
+            store_contact_age_ms: None,
         }
     }
 }
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -23,7 +23,8 @@
         policy_cell::PolicyCell,
         policy_sync::PolicyService,
         store::Store,
-        watcher::{self, WatchPlan},
+        store_contact::StoreContact,
+        watcher::{WatchPlan, Watcher},
     },
     observe::counters::Counters,
     settings::{BalancerSettings, Settings, StoreSettings},
@@ -115,6 +116,8 @@
                 address: settings.inner_address,
             })?;
         let deaths = DeathRegister::new();
+        let contact = StoreContact::new();
+        let clock = Clock::new();
         let parts = ControlParts {
             inner: inner.clone(),
             outer: outer.clone(),
@@ -127,10 +130,11 @@
                 Arc::clone(&settings.name),
                 Arc::clone(&settings.failure_domain),
                 unix_ms(),
+                contact.clone(),
             ),
             policy: policy.clone(),
             counters: counters.clone(),
-            clock: Clock::new(),
+            clock,
             log: log.clone(),
         };
         let control = Control::spawn(Control::new(parts));
@@ -162,8 +166,16 @@
         tasks.spawn(tick(control.clone()));
         tasks.spawn(push_policy(control.clone(), policy.clone()));
         if let Some((store, store_settings)) = store {
-            let plan = watch_plan(settings, &store_settings);
-            tasks.spawn(watcher::run(store, plan, policy.clone(), log.clone()));
+            let watcher = Watcher {
+                store,
+                plan: watch_plan(settings, &store_settings),
+                cell: policy.clone(),
+                contact,
+                clock,
+                counters: counters.clone(),
+                log: log.clone(),
+            };
+            tasks.spawn(watcher.run());
         }
         info!(log, "balancer started"; "inner_address" => %settings.inner_address,
             "services" => balancer.services.len());
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,4 +10,5 @@
 pub mod policy_cell;
 pub mod policy_sync;
 pub mod store;
+pub mod store_contact;
 pub mod watcher;
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -57,6 +57,8 @@
     SendFailed => "send_failed",
     /// An announcement was refused because it contradicts the settings.
     AnnounceRefused => "announce_refused",
+    /// The store was called, a waiting watch once.
+    StoreCalled => "store_called",
     /// A connection of a caller was accepted.
     ConnectionOpened => "connection_opened",
     /// A connection of a caller was refused.
--- a/src/proto/control.rs
+++ b/src/proto/control.rs
@@ -150,6 +150,9 @@
     /// Whether the balancer is about to exit.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    /// Time since a balancer that the sender can hear has reached the store; absent for never.
+    #[prost(uint64, optional, tag = "7")]
+    pub store_contact_age_ms: ::core::option::Option<u64>,
 }
 /// Order to an agent; its next announcement confirms it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -217,3 +217,24 @@
         assert_eq!(response.status().as_u16(), status, "{path} with {token:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_calls_of_the_store_do_not_grow_with_the_balancers() {
+    let scene = Scene::start(10).await;
+    scene.ready(0).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut before = Vec::new();
+    for balancer in &scene.balancers {
+        before.push(scene.events(balancer).await.of("store_called"));
+    }
+    // Longer than a third of a lease, in which every watcher renews its seat.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let mut callers = 0;
+    for (balancer, before) in scene.balancers.iter().zip(before) {
+        callers += usize::from(scene.events(balancer).await.of("store_called") > before);
+    }
+    assert!(
+        (1..=4).contains(&callers),
+        "{callers} balancers call the store"
+    );
+}
