--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -13,6 +13,7 @@
     endpoint::{self, EndpointError},
     handover::{AgentService, Finder},
     home::HomeBook,
+    members::JOIN_DELAY_MS,
     request::Handler,
     slots,
     socket::AgentSocket,
@@ -37,6 +38,8 @@
 
 const CONTROL_QUEUE_LEN: usize = 1_024;
 const DRAIN_POLL_MS: u64 = 20;
+/// Time for claims of the last keys to arrive.
+const CLAIM_GRACE_MS: u64 = 500;
 /// Time for the last packets of closed connections to leave.
 const CLOSE_TIMEOUT_MS: u64 = 1_000;
 
@@ -165,11 +168,15 @@
         info!(self.shared.log, "agent draining"; "connections" => self.shared.connections(),
             "drain_timeout_ms" => drain_timeout_ms);
         self.set_draining(true);
+        let home_until =
+            time::Instant::now() + Duration::from_millis(JOIN_DELAY_MS + CLAIM_GRACE_MS);
         let drained = time::timeout(Duration::from_millis(drain_timeout_ms), self.drained()).await;
         if drained.is_err() {
             warn!(self.shared.log, "drain timeout; closing what is left";
                 "connections" => self.shared.connections());
         }
+        // Keys that are born until then have their home here, and their claims must be answered.
+        time::sleep_until(home_until).await;
         self.shared.set_state(AgentState::Gone);
         announcer::announce_to_all(&self.shared, &self.inner);
         self.endpoint.close(0u32.into(), b"agent stopped");
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -238,3 +238,43 @@
         "{callers} balancers call the store"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_store_delays_a_change_and_nothing_else() {
+    let scene = Scene::with_targets(2).await;
+    scene.store.store().set_faults(StoreFaults { delay_ms: 700, ..StoreFaults::default() });
+    let output = scene.run(&["policy", "set", "slots=6"]);
+    assert_eq!(output.status.code(), Some(0), "{}", shown(&output));
+    scene.policy_in_force(1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_have_histograms_by_class_and_caller_group() {
+    let scene = Scene::with_targets(2).await;
+    let policy = "\
+classes: [{name: urgent, weight: 4}, {name: normal, weight: 2}]
+rules: [{service: catalogo, path_prefix: /listing, class: urgent}]
+caller_groups: [{name: resellers, network: 127.0.0.0/8}]
+";
+    std::fs::write(scene.folder.path().join("policy.yaml"), policy).expect("write");
+    let output = scene.run(&["policy", "set", "--file", "policy.yaml"]);
+    assert_eq!(output.status.code(), Some(0), "{}", shown(&output));
+    scene.policy_in_force(1).await;
+    let caller = scene.caller(0).await;
+    let call = bamboowind::demo::caller::Call::get("/listing");
+    let answer = caller.call(&call).await.expect("an answer");
+    let name = answer.header("bamboowind-target").to_owned();
+    assert!(!name.is_empty());
+    let mut metrics = String::new();
+    for agent in &scene.agents {
+        let response = reqwest::get(format!("http://{}/metrics", agent.admin)).await;
+        metrics += &response.expect("an answer").text().await.expect("metrics");
+    }
+    let wanted = metrics.lines().find(|line| {
+        line.starts_with("bamboowind_request_duration_ms_count")
+            && line.contains("class=\"urgent\"")
+            && line.contains("caller_group=\"resellers\"")
+            && line.contains("outcome=\"request_answered\"")
+    });
+    assert!(wanted.is_some_and(|line| line.ends_with(" 1")), "{metrics}");
+}
