--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -242,7 +242,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_store_delays_a_change_and_nothing_else() {
     let scene = Scene::with_targets(2).await;
-    scene.store.store().set_faults(StoreFaults { delay_ms: 700, ..StoreFaults::default() });
+    scene.store.store().set_faults(StoreFaults {
+        delay_ms: 700,
+        ..StoreFaults::default()
+    });
     let output = scene.run(&["policy", "set", "slots=6"]);
     assert_eq!(output.status.code(), Some(0), "{}", shown(&output));
     scene.policy_in_force(1).await;
