--- a/benches/control.rs
+++ b/benches/control.rs
@@ -29,8 +29,11 @@
 const HOSTS_PER_SERVICE: usize = 7;
 const ROUNDS: usize = 2_000;
 const SEED: u64 = 20_261_204;
-const HEARTBEAT_MS: u64 = 250;
-const FANOUT: usize = 4;
+const HEARTBEAT_MS: u64 = 1_000;
+const FANOUT: usize = 3;
+const TICK_MS: u64 = 250;
+const NOTICE_ROUNDS: u64 = 4;
+const NOTICE_FANOUT: usize = 4;
 const PULL_MS: u64 = 2;
 const TRIALS: usize = 20;
 
@@ -65,6 +68,7 @@
         home_since_ms: 1_764_800_002_000,
         home_until_ms: 0,
         utilisation_permille: 800,
+        wants_lists: true,
     }
 }
 
@@ -87,6 +91,11 @@
         balancers: balancers.clone(),
         siblings: directory.siblings(0, address(0), &announce(0)),
     };
+    let short_ack = AnnounceAck {
+        sequence: 100_000,
+        policy_version: 120_000,
+        ..AnnounceAck::default()
+    };
     let heartbeat = Heartbeat {
         name: "balancer-0001".to_owned(),
         failure_domain: "mx-occidente-a".to_owned(),
@@ -97,10 +106,11 @@
         store_contact_age_ms: Some(1_000),
     };
     println!(
-        "bytes with envelope: announcement {}, acknowledgement with {} siblings {}, heartbeat {}",
+        "bytes with envelope: announcement {}, acknowledgement with {} siblings {}, without {}, heartbeat {}",
         HEADER_LEN + announce(0).encoded_len(),
         ack.siblings.len(),
         HEADER_LEN + ack.encoded_len(),
+        HEADER_LEN + short_ack.encoded_len(),
         HEADER_LEN + heartbeat.encoded_len()
     );
 }
@@ -249,12 +259,15 @@
             let Some(informed_ms) = informed_at[member].filter(|&at_ms| at_ms <= now_ms) else {
                 continue;
             };
-            let is_due =
-                (now_ms + phases[member]).is_multiple_of(HEARTBEAT_MS) || informed_ms == now_ms;
-            if !is_due {
-                continue;
-            }
-            for index in sample(random, view, FANOUT.min(view)) {
+            let since_ms = now_ms - informed_ms;
+            let is_notice = since_ms < NOTICE_ROUNDS * TICK_MS && since_ms.is_multiple_of(TICK_MS);
+            let is_heartbeat = (now_ms + phases[member]).is_multiple_of(HEARTBEAT_MS);
+            let fanout = match (is_notice, is_heartbeat) {
+                (true, _) => NOTICE_FANOUT,
+                (false, true) => FANOUT,
+                (false, false) => continue,
+            };
+            for index in sample(random, view, fanout.min(view)) {
                 let peer = views[member][index];
                 if informed_at[peer].is_none() && random.random::<f64>() >= loss {
                     informed_at[peer] = Some(now_ms + PULL_MS);
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use rand::Rng;
+use rand::{Rng, seq::SliceRandom};
 use slog::{info, warn};
 use tokio::{sync::mpsc, time};
 
@@ -19,6 +19,8 @@
 };
 
 const ANNOUNCE_INTERVAL_MS: u64 = 500;
+/// Balancers that are asked for their lists with each announcement; all would say much the same.
+const LISTS_WANTED: usize = 2;
 /// Announcements are spread by up to this share of the interval, in percent.
 const JITTER_PERCENT: u64 = 20;
 
@@ -57,13 +59,14 @@
 
 /// Announces the agent to every balancer that it knows.
 pub(crate) fn announce_to_all(shared: &Shared, inner: &InnerLink) {
-    let balancers = shared.peers().known();
-    for balancer in balancers {
-        announce_to(shared, inner, balancer);
+    let mut balancers = shared.peers().known();
+    balancers.shuffle(&mut rand::rng());
+    for (index, balancer) in balancers.into_iter().enumerate() {
+        announce_to(shared, inner, balancer, index < LISTS_WANTED);
     }
 }
 
-fn announce_to(shared: &Shared, inner: &InnerLink, balancer: SocketAddr) {
+fn announce_to(shared: &Shared, inner: &InnerLink, balancer: SocketAddr, wants_lists: bool) {
     let limits = shared.limits();
     let identity = &shared.identity;
     let (since_ms, until_ms) = shared.members().own_term();
@@ -85,6 +88,7 @@
         home_since_ms: since_ms.unwrap_or_default(),
         home_until_ms: until_ms.unwrap_or_default(),
         utilisation_permille: shared.utilisation().permille(),
+        wants_lists,
     };
     inner.send_control(balancer, Body::Announce(announce));
 }
@@ -93,7 +97,7 @@
     match body {
         Body::AnnounceAck(ack) => acknowledged(shared, inner, source, &ack),
         Body::DrainOrder(order) => ordered(shared, &order),
-        Body::Probe(_) => announce_to(shared, inner, source),
+        Body::Probe(_) => announce_to(shared, inner, source, false),
         Body::Heartbeat(heartbeat) if heartbeat.leaving => shared.peers().left(source),
         Body::Heartbeat(_) | Body::Announce(_) => {}
     }
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -37,6 +37,8 @@
 };
 
 const CONTROL_QUEUE_LEN: usize = 1_024;
+/// Time without an acknowledgement after which replies go through another balancer.
+const BALANCER_TIMEOUT_MS: u64 = 1_500;
 const DRAIN_POLL_MS: u64 = 20;
 /// Time for claims of the last keys to arrive.
 const CLAIM_GRACE_MS: u64 = 500;
@@ -106,7 +108,7 @@
         let identity = Identity::new(settings, agent, route, epoch_ms);
         let counters = Counters::new();
         let metrics = Metrics::new(&counters).context(MetricsSnafu)?;
-        let peers = Peers::new(address, &settings.peers);
+        let peers = Peers::new(address, &settings.peers, BALANCER_TIMEOUT_MS);
         let shared = Shared::new(identity, peers, PolicyCell::new(), counters, metrics, log);
         let socket = BatchSocket::bind(address).context(BindSnafu { address })?;
         let inner = InnerLink::new(Arc::new(socket), settings.keys.clone());
--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -121,11 +121,20 @@
             );
             return;
         }
+        let (balancers, siblings) = if announce.wants_lists {
+            let balancers = self.parts.gossip.shared_addresses(now_ms);
+            (
+                balancers,
+                self.directory.siblings(now_ms, address, &announce),
+            )
+        } else {
+            (Vec::new(), Vec::new())
+        };
         let ack = AnnounceAck {
             sequence: announce.sequence,
             policy_version: self.parts.policy.version(),
-            balancers: self.parts.gossip.shared_addresses(now_ms),
-            siblings: self.directory.siblings(now_ms, address, &announce),
+            balancers,
+            siblings,
         };
         self.parts
             .inner
@@ -308,9 +317,8 @@
         let now_ms = self.parts.clock.now_ms();
         self.directory.expire(now_ms);
         self.examine_silent(now_ms, context.actor_ref());
-        self.parts
-            .gossip
-            .send_heartbeats(&self.parts.inner, self.parts.policy.version(), now_ms);
+        let version = self.parts.policy.version();
+        self.parts.gossip.tick(&self.parts.inner, version, now_ms);
     }
 }
 
@@ -325,7 +333,7 @@
         let version = self.parts.policy.version();
         self.parts
             .gossip
-            .send_heartbeats(&self.parts.inner, version, now_ms);
+            .policy_changed(&self.parts.inner, version, now_ms);
     }
 }
 
--- a/src/balancer/gossip.rs
+++ b/src/balancer/gossip.rs
@@ -11,7 +11,13 @@
 };
 
 /// Balancers that get a heartbeat each interval.
-const FANOUT: usize = 4;
+const FANOUT: usize = 3;
+const HEARTBEAT_INTERVAL_MS: u64 = 1_000;
+/// Balancers that get a notice of a new version each round, and the number of rounds.
+const NOTICE_FANOUT: usize = 4;
+const NOTICE_ROUNDS: u32 = 4;
+/// Time without a heartbeat after which a balancer counts as gone.
+const PEER_TIMEOUT_MS: u64 = 5_000;
 /// Addresses that a heartbeat or an acknowledgement names.
 const SHARED_ADDRESSES: usize = 8;
 
@@ -24,6 +30,8 @@
     failure_domain: Arc<str>,
     epoch_ms: u64,
     contact: StoreContact,
+    heartbeat_at_ms: u64,
+    notices_left: u32,
 }
 
 impl Gossip {
@@ -38,12 +46,14 @@
         contact: StoreContact,
     ) -> Self {
         Self {
-            peers: Peers::new(own, seeds),
+            peers: Peers::new(own, seeds, PEER_TIMEOUT_MS),
             own,
             name,
             failure_domain,
             epoch_ms,
             contact,
+            heartbeat_at_ms: 0,
+            notices_left: 0,
         }
     }
 
@@ -79,12 +89,38 @@
             .collect()
     }
 
-    /// Sends a heartbeat to some balancers drawn at random.
-    pub fn send_heartbeats(&mut self, inner: &InnerLink, policy_version: u64, now_ms: u64) {
-        let known = self.peers.known();
+    /// Tells of a new version of the policy, at once and with the next ticks.
+    pub fn policy_changed(&mut self, inner: &InnerLink, policy_version: u64, now_ms: u64) {
+        self.notices_left = NOTICE_ROUNDS;
+        self.tick(inner, policy_version, now_ms);
+    }
+
+    /// Sends heartbeats if it is time, and short notices while a version is new.
+    pub fn tick(&mut self, inner: &InnerLink, policy_version: u64, now_ms: u64) {
+        if self.notices_left > 0 {
+            self.notices_left -= 1;
+            self.send_to_some(
+                inner,
+                NOTICE_FANOUT,
+                &self.heartbeat(policy_version, Vec::new(), false),
+            );
+        }
+        if now_ms >= self.heartbeat_at_ms + HEARTBEAT_INTERVAL_MS {
+            self.send_heartbeats(inner, policy_version, now_ms);
+        }
+    }
+
+    fn send_heartbeats(&mut self, inner: &InnerLink, policy_version: u64, now_ms: u64) {
+        self.heartbeat_at_ms = now_ms;
         let mut heartbeat = self.heartbeat(policy_version, self.shared_addresses(now_ms), false);
         heartbeat.store_contact_age_ms = self.contact.age_ms(now_ms);
-        for &peer in known.choose_multiple(&mut rand::rng(), FANOUT) {
+        self.send_to_some(inner, FANOUT, &heartbeat);
+    }
+
+    /// Sends to some balancers drawn at random.
+    fn send_to_some(&self, inner: &InnerLink, fanout: usize, heartbeat: &Heartbeat) {
+        let known = self.peers.known();
+        for &peer in known.choose_multiple(&mut rand::rng(), fanout) {
             inner.send_control(peer, Body::Heartbeat(heartbeat.clone()));
         }
     }
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -31,7 +31,7 @@
     wire::transport::{BatchSocket, InnerLink},
 };
 
-const HEARTBEAT_INTERVAL_MS: u64 = 250;
+const TICK_INTERVAL_MS: u64 = 250;
 /// Time in which a leaving balancer goes on forwarding what is under way to it.
 const LEAVE_GRACE_MS: u64 = 1_000;
 
@@ -258,7 +258,7 @@
 }
 
 async fn tick(control: ActorRef<Control>) {
-    let mut interval = time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
+    let mut interval = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -4,8 +4,6 @@
 
 /// Largest number of balancers that are remembered.
 pub const MAX_PEERS: usize = 64;
-/// Time without a sign of life after which a balancer counts as gone.
-pub const PEER_TIMEOUT_MS: u64 = 1_500;
 
 /// One balancer and when it was heard last.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,30 +13,40 @@
     is_seed: bool,
 }
 
+impl Peer {
+    fn is_live(&self, now_ms: u64, timeout_ms: u64) -> bool {
+        let heard_at_ms = self.heard_at_ms;
+        heard_at_ms.is_some_and(|heard| now_ms.saturating_sub(heard) < timeout_ms)
+    }
+}
+
 /// The balancers known to a process, sorted by address.
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: SocketAddr,
+    timeout_ms: u64,
     entries: Vec<Peer>,
 }
 
 impl Peers {
-    /// Starts from the addresses in the settings, which are never forgotten.
+    /// Starts from the addresses in the settings, which are never forgotten; a balancer counts as
+    /// gone after `timeout_ms` without a sign of life.
     ///
     /// ```
     /// use bamboowind::control::peers::Peers;
     ///
     /// let own = "10.0.0.1:7000".parse().unwrap();
     /// let seed = "10.0.0.2:7000".parse().unwrap();
-    /// let mut peers = Peers::new(own, &[own, seed]);
+    /// let mut peers = Peers::new(own, &[own, seed], 1_500);
     /// assert!(peers.live(100).is_empty());
     /// peers.heard(seed, 100);
     /// assert_eq!(peers.live(100), [seed]);
     /// ```
     #[must_use]
-    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr], timeout_ms: u64) -> Self {
         let mut peers = Self {
             own,
+            timeout_ms,
             entries: Vec::new(),
         };
         for &seed in seeds {
@@ -72,13 +80,14 @@
     /// Forgets balancers that were not heard for long, other than the settings' own.
     pub fn expire(&mut self, now_ms: u64) {
         self.entries
-            .retain(|peer| peer.is_seed || is_live(peer, now_ms));
+            .retain(|peer| peer.is_seed || peer.is_live(now_ms, self.timeout_ms));
     }
 
     /// Addresses of the balancers that are alive, sorted.
     #[must_use]
     pub fn live(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let live = self.entries.iter().filter(|peer| is_live(peer, now_ms));
+        let live = self.entries.iter();
+        let live = live.filter(|peer| peer.is_live(now_ms, self.timeout_ms));
         live.map(|peer| peer.address).collect()
     }
 
@@ -92,7 +101,7 @@
     #[must_use]
     pub fn is_live(&self, address: SocketAddr, now_ms: u64) -> bool {
         self.search(address)
-            .is_ok_and(|index| is_live(&self.entries[index], now_ms))
+            .is_ok_and(|index| self.entries[index].is_live(now_ms, self.timeout_ms))
     }
 
     fn insert(&mut self, address: SocketAddr, is_seed: bool) {
@@ -114,8 +123,3 @@
             .binary_search_by_key(&address, |peer| peer.address)
     }
 }
-
-fn is_live(peer: &Peer, now_ms: u64) -> bool {
-    let heard_at_ms = peer.heard_at_ms;
-    heard_at_ms.is_some_and(|heard| now_ms.saturating_sub(heard) < PEER_TIMEOUT_MS)
-}
--- a/src/proto/control.rs
+++ b/src/proto/control.rs
@@ -81,6 +81,9 @@
     /// Share of the slots in use, smoothed over seconds, in thousandths.
     #[prost(uint32, tag = "17")]
     pub utilisation_permille: u32,
+    /// Whether the acknowledgement should name siblings and balancers.
+    #[prost(bool, tag = "18")]
+    pub wants_lists: bool,
 }
 /// Another agent of the same service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
