Remove what is unused, and hash keys' requests the same in every version

Cause: reading as a newcomer. The probe message and one dependency had no user; the fingerprint of a request used the standard library's hasher, whose result may change between compiler versions, so that a rolling upgrade could refuse a repeat as another request.

--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -97,7 +97,6 @@
     match body {
         Body::AnnounceAck(ack) => acknowledged(shared, inner, source, &ack),
         Body::DrainOrder(order) => ordered(shared, &order),
-        Body::Probe(_) => announce_to(shared, inner, source, false),
         Body::Heartbeat(heartbeat) if heartbeat.leaving => shared.peers().left(source),
         Body::Heartbeat(_) | Body::Announce(_) => {}
     }
--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -1,11 +1,6 @@
 //! What the agent knows of a request besides its content.
 
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    net::SocketAddr,
-    sync::Arc,
-    time::Instant,
-};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use http::{Request, StatusCode, header};
 
@@ -25,6 +20,7 @@
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Header with the time in which the answer is of use, in milliseconds.
 pub const REQUEST_TIMEOUT_HEADER: &str = "request-timeout-ms";
+
 /// What the agent knows of a request besides its content.
 pub(crate) struct Context {
     pub connection: quinn::Connection,
@@ -109,13 +105,16 @@
     }
 }
 
+/// Hash of what must be the same when a key is used again.
 fn fingerprint(request: &Request<()>) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    request.method().hash(&mut hasher);
-    request.uri().path_and_query().hash(&mut hasher);
-    request
-        .headers()
-        .get(header::CONTENT_LENGTH)
-        .hash(&mut hasher);
-    hasher.finish()
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(request.method().as_str().as_bytes());
+    hasher.update(request.uri().path().as_bytes());
+    hasher.update(request.uri().query().unwrap_or_default().as_bytes());
+    if let Some(length) = request.headers().get(header::CONTENT_LENGTH) {
+        hasher.update(length.as_bytes());
+    }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_be_bytes(bytes)
 }
--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -300,7 +300,7 @@
                 self.parts.gossip.heard(message.source, &heartbeat, now_ms);
                 self.fetch_policy(message.source, heartbeat.policy_version);
             }
-            Body::AnnounceAck(_) | Body::DrainOrder(_) | Body::Probe(_) => {
+            Body::AnnounceAck(_) | Body::DrainOrder(_) => {
                 self.parts.counters.count(Event::DroppedMalformed);
             }
         }
--- a/src/proto/control.rs
+++ b/src/proto/control.rs
@@ -2,7 +2,7 @@
 /// Body of one control datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Control {
-    #[prost(oneof = "control::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "control::Body", tags = "1, 2, 3, 4")]
     pub body: ::core::option::Option<control::Body>,
 }
 /// Nested message and enum types in `Control`.
@@ -21,9 +21,6 @@
         /// A balancer asks an agent to drain or to resume.
         #[prost(message, tag = "4")]
         DrainOrder(super::DrainOrder),
-        /// A balancer asks an agent to announce itself at once.
-        #[prost(message, tag = "5")]
-        Probe(super::Probe),
     }
 }
 /// An agent and its load.
@@ -167,13 +164,6 @@
     #[prost(bool, tag = "2")]
     pub drain: bool,
 }
-/// Request for an announcement.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Probe {
-    /// Number of the service that is meant.
-    #[prost(uint32, tag = "1")]
-    pub service_number: u32,
-}
 /// What one process asks another over a framed stream.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct InnerRequest {
