Flood a balancer with first packets in a test

Cause: when read, first packets and announcements share one bounded mailbox, so that a flood could silence the agents. Conclusion: no fault shown, no change made; the test stays.

--- a/tests/security.rs
+++ b/tests/security.rs
@@ -2,10 +2,14 @@
 
 mod common;
 
-use std::net::UdpSocket;
+use std::{
+    net::UdpSocket,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bamboowind::{
-    demo::caller::Call,
+    demo::{caller::Call, certificate::SERVER_NAME},
     wire::{
         envelope::{self, Header, Kind},
         key_ring::{KeyRing, PhaseKeys},
@@ -169,3 +173,66 @@
         (400, Some("not-run"))
     );
 }
+
+/// The first packets of flows that nobody goes on with.
+fn first_packets(scene: &Scene, count: usize) -> Vec<Vec<u8>> {
+    let roots = Arc::new(scene.certificate.roots());
+    let config = quinn::ClientConfig::with_root_certificates(roots).expect("a configuration");
+    let mut endpoint = quinn_proto::Endpoint::new(Arc::default(), None, true, None);
+    let service = scene.services[0].fabric.service();
+    let packets = (0..count).map(|_| {
+        let now = Instant::now();
+        let connecting = endpoint.connect(now, config.clone(), service, SERVER_NAME);
+        let (_, mut connection) = connecting.expect("a connection");
+        let mut packet = Vec::new();
+        let transmit = connection
+            .poll_transmit(now, 1, &mut packet)
+            .expect("a packet");
+        packet.truncate(transmit.size);
+        packet
+    });
+    packets.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_first_packets_does_not_silence_the_agents() {
+    let scene = Scene::with_targets(1).await;
+    let caller = scene.caller(0).await;
+    let outer = scene.outer_address(0, 0);
+    let packets = Arc::new(first_packets(&scene, 100));
+    let flood = move || {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+        let started_at = Instant::now();
+        while started_at.elapsed() < Duration::from_secs(4) {
+            for packet in packets.iter() {
+                let _ = socket.send_to(packet, outer);
+            }
+        }
+    };
+    let floods: Vec<_> = (0..3)
+        .map(|_| tokio::task::spawn_blocking(flood.clone()))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let agent = scene.status(&scene.agents[0]).await;
+    let answer = caller
+        .call(&Call::get("/listing"))
+        .await
+        .expect("an answer");
+    for flood in floods {
+        flood.await.expect("a flood");
+    }
+    assert_eq!(answer.status, 200);
+    let balancers = agent["balancers"].as_array().cloned().unwrap_or_default();
+    assert_eq!(
+        balancers.len(),
+        1,
+        "the agent hears no balancer during the flood"
+    );
+    assert!(
+        scene
+            .events(&scene.balancers[0])
+            .await
+            .of("dropped_overload")
+            > 0
+    );
+}
