Keep floods of first packets and acknowledgements without lists from misleading

Cause 1: first packets and announcements shared one mailbox of 64. The flood test passed while the machine was idle and failed in a run beside a release build: the agent heard no balancer (balancers: 0 of 1). Now at most 64 of 1,024 waiting messages may be callers' packets. Cause 2: since acknowledgements without lists were introduced, they counted as fresh knowledge of the other members, which the home of a key relies on (found by reading). Only lists count now, and lists are asked of live balancers first.

--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -59,8 +59,11 @@
 
 /// Announces the agent to every balancer that it knows.
 pub(crate) fn announce_to_all(shared: &Shared, inner: &InnerLink) {
+    let now_ms = shared.clock.now_ms();
     let mut balancers = shared.peers().known();
     balancers.shuffle(&mut rand::rng());
+    // Lists are asked of balancers that are alive, if there are any.
+    balancers.sort_by_key(|&balancer| !shared.peers().is_live(balancer, now_ms));
     for (index, balancer) in balancers.into_iter().enumerate() {
         announce_to(shared, inner, balancer, index < LISTS_WANTED);
     }
@@ -110,7 +113,11 @@
         peers.learn(ack.balancers.iter().filter_map(|text| text.parse().ok()));
         peers.expire(now_ms);
     }
-    note_siblings(shared, ack);
+    // A balancer that gives its lists names itself. Without lists an acknowledgement says nothing of
+    // the other members, and must not count as knowledge of them.
+    if !ack.balancers.is_empty() {
+        note_siblings(shared, ack);
+    }
     if ack.policy_version > shared.policy.version() {
         fetch_policy(Arc::clone(shared), inner.clone(), source);
     }
--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -12,6 +12,7 @@
     message::{Context, Message},
 };
 use slog::{Logger, info, warn};
+use tokio::sync::OwnedSemaphorePermit;
 
 use super::{
     directory::{AnnounceOutcome, Directory},
@@ -196,20 +197,35 @@
     }
 }
 
-/// A packet that may open a flow.
-pub struct FirstPacket {
+/// A packet that no agent gets as it is.
+pub struct UnroutedPacket {
     /// Number of the service.
     pub service: u16,
     /// Address of the caller.
     pub caller: SocketAddr,
     /// The datagram.
     pub packet: BytesMut,
+    /// Whether it belongs to a flow whose agent is dead; otherwise it may open a flow.
+    pub is_lost: bool,
+    /// Its share of the room for packets that wait.
+    pub room: OwnedSemaphorePermit,
 }
 
-impl Message<FirstPacket> for Control {
+impl Message<UnroutedPacket> for Control {
     type Reply = ();
 
-    async fn handle(&mut self, first: FirstPacket, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, unrouted: UnroutedPacket, _: &mut Context<Self, ()>) {
+        if unrouted.is_lost {
+            self.end_flow(unrouted);
+        } else {
+            self.open_flow(unrouted);
+        }
+    }
+}
+
+impl Control {
+    /// Answers the first packet of a flow.
+    fn open_flow(&mut self, first: UnroutedPacket) {
         let now_ms = self.parts.clock.now_ms();
         let route = self
             .directory
@@ -218,11 +234,8 @@
             return;
         }
         let mut answer = std::mem::take(&mut self.answer);
-        let kind =
-            self.parts
-                .responder
-                .answer_first(first.caller, first.packet, route, &mut answer);
-        match kind {
+        let responder = &mut self.parts.responder;
+        match responder.answer_first(first.caller, first.packet, route, &mut answer) {
             Answer::Retry => self.parts.counters.count(Event::RetrySent),
             Answer::Refusal => {
                 self.parts.counters.count(Event::FlowRefused);
@@ -232,27 +245,12 @@
         }
         self.send_answer(first.service, first.caller, answer);
     }
-}
-
-/// A packet of a flow whose agent is dead.
-pub struct LostPacket {
-    /// Number of the service.
-    pub service: u16,
-    /// Address of the caller.
-    pub caller: SocketAddr,
-    /// The datagram.
-    pub packet: BytesMut,
-}
-
-impl Message<LostPacket> for Control {
-    type Reply = ();
 
-    async fn handle(&mut self, lost: LostPacket, _: &mut Context<Self, ()>) {
+    /// Answers a packet of a flow whose agent is dead.
+    fn end_flow(&mut self, lost: UnroutedPacket) {
         let mut answer = std::mem::take(&mut self.answer);
-        let kind = self
-            .parts
-            .responder
-            .answer_lost(lost.caller, lost.packet, &mut answer);
+        let responder = &mut self.parts.responder;
+        let kind = responder.answer_lost(lost.caller, lost.packet, &mut answer);
         if kind != Answer::Nothing {
             self.parts.counters.count(Event::ResetSent);
         }
--- a/src/balancer/forward.rs
+++ b/src/balancer/forward.rs
@@ -4,9 +4,10 @@
 
 use bytes::BytesMut;
 use kameo::actor::ActorRef;
+use tokio::sync::Semaphore;
 
 use super::{
-    control::{Control, FirstPacket, LostPacket},
+    control::{Control, UnroutedPacket},
     lost::DeathRegister,
     route::{Decision, DropReason, decide_datagram},
 };
@@ -34,6 +35,8 @@
     pub inner: InnerLink,
     /// Takes the packets that may open a flow.
     pub control: ActorRef<Control>,
+    /// Room for packets that wait at the control actor, so that they leave room for messages.
+    pub packet_room: Arc<Semaphore>,
     /// Agents that are known to be dead.
     pub deaths: DeathRegister,
     /// Counts what happens.
@@ -109,21 +112,25 @@
 
     /// Has a packet of a lost flow answered.
     fn report(&self, caller: SocketAddr, packet: &[u8]) {
-        let message = LostPacket {
-            service: self.service,
-            caller,
-            packet: BytesMut::from(packet),
-        };
-        if self.control.tell(message).try_send().is_err() {
-            self.counters.count(Event::DroppedOverload);
-        }
+        self.hand_over(caller, packet, true);
     }
 
     fn open(&self, caller: SocketAddr, packet: &[u8]) {
-        let message = FirstPacket {
+        self.hand_over(caller, packet, false);
+    }
+
+    /// Gives a packet to the control actor, unless too many wait there.
+    fn hand_over(&self, caller: SocketAddr, packet: &[u8], is_lost: bool) {
+        let Ok(room) = Arc::clone(&self.packet_room).try_acquire_owned() else {
+            self.counters.count(Event::DroppedOverload);
+            return;
+        };
+        let message = UnroutedPacket {
             service: self.service,
             caller,
             packet: BytesMut::from(packet),
+            is_lost,
+            room,
         };
         if self.control.tell(message).try_send().is_err() {
             self.counters.count(Event::DroppedOverload);
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -5,7 +5,7 @@
 use kameo::actor::{ActorRef, Spawn};
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
-use tokio::{net::TcpListener, task::JoinSet, time};
+use tokio::{net::TcpListener, sync::Semaphore, task::JoinSet, time};
 
 use super::{
     control::{Control, ControlParts, Leave, PolicyChanged, Tick},
@@ -32,6 +32,9 @@
 };
 
 const TICK_INTERVAL_MS: u64 = 250;
+/// Messages that wait at the control actor, and the part of them that may be callers' packets.
+const MAX_WAITING_MESSAGES: usize = 1_024;
+const MAX_WAITING_PACKETS: usize = 64;
 /// Time in which a leaving balancer goes on forwarding what is under way to it.
 const LEAVE_GRACE_MS: u64 = 1_000;
 
@@ -137,7 +140,9 @@
             clock,
             log: log.clone(),
         };
-        let control = Control::spawn(Control::new(parts));
+        let mailbox = kameo::mailbox::bounded(MAX_WAITING_MESSAGES);
+        let control = Control::spawn_with_mailbox(Control::new(parts), mailbox);
+        let packet_room = Arc::new(Semaphore::new(MAX_WAITING_PACKETS));
         let mut tasks = JoinSet::new();
         for socket in &outer {
             let forwarder = Forwarder {
@@ -145,6 +150,7 @@
                 outer: Arc::clone(&socket.socket),
                 inner: inner.clone(),
                 control: control.clone(),
+                packet_room: Arc::clone(&packet_room),
                 deaths: deaths.clone(),
                 counters: counters.clone(),
             };
