Tell the other balancers of a dead agent

The likely way, by reading: one balancer knew of the death and answered with a reset, another still named the dead agent in its Retry, and the first refused that flow. Change: the balancer that finds the death tells all that it knows; they forget the process and remember it as dead.

--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -101,7 +101,7 @@
         Body::AnnounceAck(ack) => acknowledged(shared, inner, source, &ack),
         Body::DrainOrder(order) => ordered(shared, &order),
         Body::Heartbeat(heartbeat) if heartbeat.leaving => shared.peers().left(source),
-        Body::Heartbeat(_) | Body::Announce(_) => {}
+        Body::Heartbeat(_) | Body::Announce(_) | Body::AgentLost(_) => {}
     }
 }
 
--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -29,7 +29,7 @@
         counters::{Counters, Event},
         log::RateLimit,
     },
-    proto::control::{Announce, AnnounceAck, DrainOrder, control::Body},
+    proto::control::{AgentLost, Announce, AnnounceAck, DrainOrder, control::Body},
     settings::ServiceSettings,
     wire::{
         connection_id::Epoch,
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Takes another balancer's word that an agent's process has ended.
+    fn heard_of_death(&mut self, lost: &AgentLost) {
+        let port = u16::try_from(lost.port).unwrap_or_default();
+        let address = SocketAddrV4::new(lost.ip.into(), port);
+        self.directory.forget(address, lost.epoch_ms);
+        self.parts
+            .deaths
+            .note(address, Epoch::from_ms(lost.epoch_ms));
+    }
+
     /// Sends what the responder wrote for a caller.
     fn send_answer(&mut self, service: u16, caller: SocketAddr, answer: Vec<u8>) {
         if let (Some(outer), false) = (self.outer(service), answer.is_empty()) {
@@ -270,12 +280,22 @@
     type Reply = ();
 
     async fn handle(&mut self, died: Died, _: &mut Context<Self, ()>) {
-        if self.directory.forget(died.address, died.epoch_ms) {
-            self.parts
-                .deaths
-                .note(died.address, Epoch::from_ms(died.epoch_ms));
-            warn!(self.parts.log, "target lost"; "address" => %died.address);
+        if !self.directory.forget(died.address, died.epoch_ms) {
+            return;
         }
+        self.parts
+            .deaths
+            .note(died.address, Epoch::from_ms(died.epoch_ms));
+        warn!(self.parts.log, "target lost"; "address" => %died.address);
+        let lost = AgentLost {
+            ip: (*died.address.ip()).into(),
+            port: died.address.port().into(),
+            epoch_ms: died.epoch_ms,
+        };
+        // The others would go on choosing the agent until they notice by themselves.
+        self.parts
+            .gossip
+            .send_to_all(&self.parts.inner, &Body::AgentLost(lost));
     }
 }
 
@@ -298,6 +318,7 @@
                 self.parts.gossip.heard(message.source, &heartbeat, now_ms);
                 self.fetch_policy(message.source, heartbeat.policy_version);
             }
+            Body::AgentLost(lost) => self.heard_of_death(&lost),
             Body::AnnounceAck(_) | Body::DrainOrder(_) => {
                 self.parts.counters.count(Event::DroppedMalformed);
             }
--- a/src/balancer/gossip.rs
+++ b/src/balancer/gossip.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Sends a message to every balancer that is known.
+    pub fn send_to_all(&self, inner: &InnerLink, body: &Body) {
+        for peer in self.peers.known() {
+            inner.send_control(peer, body.clone());
+        }
+    }
+
     /// Tells the other balancers that this one leaves.
     pub fn send_goodbye(&self, inner: &InnerLink, policy_version: u64) {
         for peer in self.peers.known() {
--- a/src/proto/control.rs
+++ b/src/proto/control.rs
@@ -2,7 +2,7 @@
 /// Body of one control datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Control {
-    #[prost(oneof = "control::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "control::Body", tags = "1, 2, 3, 4, 6")]
     pub body: ::core::option::Option<control::Body>,
 }
 /// Nested message and enum types in `Control`.
@@ -21,6 +21,9 @@
         /// A balancer asks an agent to drain or to resume.
         #[prost(message, tag = "4")]
         DrainOrder(super::DrainOrder),
+        /// A balancer tells another balancer of an agent's death.
+        #[prost(message, tag = "6")]
+        AgentLost(super::AgentLost),
     }
 }
 /// An agent and its load.
@@ -154,6 +157,19 @@
     #[prost(uint64, optional, tag = "7")]
     pub store_contact_age_ms: ::core::option::Option<u64>,
 }
+/// An agent's process that has ended, as its host has shown.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AgentLost {
+    /// IPv4 address of the agent, as a number.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port of the agent's inner address.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "3")]
+    pub epoch_ms: u64,
+}
 /// Order to an agent; its next announcement confirms it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DrainOrder {
