Search dead agents by halves, once a batch

Each forwarded datagram took a lock and walked through up to 4,096 dead processes. Change: they are sorted by address and epoch, and a batch of packets reads them once, as it does the keys. The oldest are still dropped first.

--- a/src/balancer/forward.rs
+++ b/src/balancer/forward.rs
@@ -8,7 +8,7 @@
 
 use super::{
     control::{Control, UnroutedPacket},
-    lost::DeathRegister,
+    lost::{DeadProcesses, DeathRegister},
     route::{Decision, DropReason, decide_datagram},
 };
 use crate::{
@@ -25,6 +25,12 @@
 /// Largest packet that is forwarded, in bytes.
 const MAX_PACKET_LEN: usize = envelope::MAX_BODY_LEN - envelope::ADDRESS_LEN;
 
+/// What holds for one batch of packets.
+struct View {
+    ring: Arc<KeyRing>,
+    dead: Arc<DeadProcesses>,
+}
+
 /// Forwards the packets of one service.
 pub struct Forwarder {
     /// Number of the service.
@@ -49,10 +55,13 @@
         let mut buffers = ReceiveBuffers::new();
         let mut pending = SegmentRun::default();
         while self.outer.receive(&mut buffers).await.is_ok() {
-            let ring = self.inner.sealer().keys().load();
+            let view = View {
+                ring: self.inner.sealer().keys().load(),
+                dead: self.deaths.load(),
+            };
             for train in buffers.trains() {
                 for packet in train.datagrams() {
-                    self.handle(&ring, train.source, packet, &mut pending).await;
+                    self.handle(&view, train.source, packet, &mut pending).await;
                 }
             }
             self.flush(&mut pending).await;
@@ -61,7 +70,7 @@
 
     async fn handle(
         &self,
-        ring: &KeyRing,
+        view: &View,
         caller: SocketAddr,
         packet: &[u8],
         pending: &mut SegmentRun,
@@ -70,9 +79,12 @@
             self.counters.count(Event::DroppedOversized);
             return;
         }
-        match decide_datagram(ring, self.service, packet) {
-            Decision::Forward(route) if self.deaths.is_dead(&route) => self.report(caller, packet),
-            Decision::Forward(route) => self.forward(ring, caller, route, packet, pending).await,
+        match decide_datagram(&view.ring, self.service, packet) {
+            Decision::Forward(route) if view.dead.has(&route) => self.report(caller, packet),
+            Decision::Forward(route) => {
+                self.forward(&view.ring, caller, route, packet, pending)
+                    .await;
+            }
             Decision::Open => self.open(caller, packet),
             Decision::Drop(reason) => self.counters.count(drop_event(reason)),
         }
--- a/src/balancer/lost.rs
+++ b/src/balancer/lost.rs
@@ -22,16 +22,58 @@
 const MAX_DEAD: usize = 4_096;
 
 /// One process of an agent that has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 struct Dead {
     address: SocketAddrV4,
     epoch: Epoch,
+    noted: u64,
 }
 
-/// The processes that have ended, the latest last.
+/// The processes that have ended, sorted by address and epoch.
+#[derive(Clone, Debug, Default)]
+pub struct DeadProcesses {
+    entries: Vec<Dead>,
+    noted: u64,
+}
+
+impl DeadProcesses {
+    /// Whether the process that owns a flow has ended.
+    #[must_use]
+    pub fn has(&self, route: &Route) -> bool {
+        self.search(route.agent, route.epoch).is_ok()
+    }
+
+    fn search(&self, address: SocketAddrV4, epoch: Epoch) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&(address, epoch), |dead| (dead.address, dead.epoch))
+    }
+
+    fn note(&mut self, address: SocketAddrV4, epoch: Epoch) {
+        if self.search(address, epoch).is_ok() {
+            return;
+        }
+        if self.entries.len() >= MAX_DEAD {
+            let oldest = (0..self.entries.len()).min_by_key(|&index| self.entries[index].noted);
+            self.entries.remove(oldest.unwrap_or_default());
+        }
+        self.noted += 1;
+        let noted = self.noted;
+        let index = self.search(address, epoch).unwrap_or_else(|index| index);
+        self.entries.insert(
+            index,
+            Dead {
+                address,
+                epoch,
+                noted,
+            },
+        );
+    }
+}
+
+/// Shares the processes that have ended; the latest ones are remembered.
 #[derive(Clone, Debug, Default)]
 pub struct DeathRegister {
-    dead: Arc<RwLock<Arc<Vec<Dead>>>>,
+    dead: Arc<RwLock<Arc<DeadProcesses>>>,
 }
 
 impl DeathRegister {
@@ -48,9 +90,9 @@
     /// };
     /// let register = DeathRegister::new();
     /// register.note(route.agent, route.epoch);
-    /// assert!(register.is_dead(&route));
+    /// assert!(register.load().has(&route));
     /// let successor = Route { epoch: Epoch::from_ms(6_000_000), ..route };
-    /// assert!(!register.is_dead(&successor));
+    /// assert!(!register.load().has(&successor));
     /// ```
     #[must_use]
     pub fn new() -> Self {
@@ -59,25 +101,14 @@
 
     /// Notes that a process has ended.
     pub fn note(&self, address: SocketAddrV4, epoch: Epoch) {
-        let entry = Dead { address, epoch };
         let mut dead = self.dead.write().unwrap_or_else(PoisonError::into_inner);
-        if dead.contains(&entry) {
-            return;
-        }
-        let surplus = (dead.len() + 1).saturating_sub(MAX_DEAD);
-        let kept = dead.iter().skip(surplus).copied();
-        *dead = Arc::new(kept.chain([entry]).collect());
+        Arc::make_mut(&mut dead).note(address, epoch);
     }
 
-    /// Whether the process that owns a flow has ended.
+    /// The processes that have ended, as of now.
     #[must_use]
-    pub fn is_dead(&self, route: &Route) -> bool {
-        let dead = self.dead.read().unwrap_or_else(PoisonError::into_inner);
-        let entry = Dead {
-            address: route.agent,
-            epoch: route.epoch,
-        };
-        !dead.is_empty() && dead.contains(&entry)
+    pub fn load(&self) -> Arc<DeadProcesses> {
+        Arc::clone(&self.dead.read().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
--- a/src/wire/connection_id.rs
+++ b/src/wire/connection_id.rs
@@ -27,7 +27,7 @@
 }
 
 /// Start of a process in units of 1,024 ms, modulo 2²⁴.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Epoch(u32);
 
 impl Epoch {
