Work limits out once a policy, and forget outcomes in steps

The limits of a host, a walk through all exceptions, were worked out several times a request and a hundred times a second; every claim walked through all kept outcomes to find old ones. Change: limits are kept with the policy that they come from; the slots take limits when the policy has changed; outcomes are forgotten a second at a time. A record that is kept a second longer is never asked for, since its key is no longer decided on.

--- a/src/agent/outcomes.rs
+++ b/src/agent/outcomes.rs
@@ -9,6 +9,8 @@
 pub const MAX_KEPT_BODY_LEN: usize = 16 << 10;
 /// Outcomes that are kept at once.
 pub const MAX_OUTCOMES: usize = 10_000;
+/// Span of birth times that is forgotten at once.
+const FORGET_STEP_MS: u64 = 1_000;
 
 /// An answer that can be given again.
 #[derive(Clone, Debug, PartialEq)]
@@ -71,6 +73,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outcomes {
     records: Vec<Record>,
+    forgotten_before_ms: u64,
 }
 
 impl Outcomes {
@@ -135,8 +138,13 @@
         }
     }
 
-    /// Drops the records of keys that were born before `oldest_birth_ms`.
+    /// Drops the records of keys that were born before `oldest_birth_ms`; many at a time, since it
+    /// looks at all of them.
     pub fn forget_before(&mut self, oldest_birth_ms: u64) {
+        if oldest_birth_ms < self.forgotten_before_ms + FORGET_STEP_MS {
+            return;
+        }
+        self.forgotten_before_ms = oldest_birth_ms;
         self.records
             .retain(|record| record.birth_ms >= oldest_birth_ms);
     }
--- a/src/agent/request.rs
+++ b/src/agent/request.rs
@@ -319,10 +319,10 @@
         &self,
         context: &Context,
         claim: HeldClaim,
-        answer: TargetAnswer,
+        mut answer: TargetAnswer,
         send: &mut SendHalf,
     ) -> Ending {
-        let TargetAnswer { response, .. } = &answer;
+        let response = &answer.response;
         let mut head = Response::new(());
         *head.status_mut() = response.status();
         *head.headers_mut() = response.headers().clone();
@@ -332,7 +332,6 @@
             head.headers_mut().insert(TARGET_HEADER, name);
         }
         let mut is_caller_gone = send.send_response(head).await.is_err();
-        let mut answer = answer;
         let ending = loop {
             if is_caller_gone && context.key.is_none() {
                 break Ending::Cancelled;
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -18,6 +18,7 @@
     admission::{Admission, AdmissionLimits, Effect, Finished, Refusal, Ticket, Verdict},
     state::Shared,
 };
+use crate::proto::policy::Policy;
 
 const TICK_INTERVAL_MS: u32 = 10;
 
@@ -25,6 +26,8 @@
 #[derive(Actor)]
 pub(crate) struct Slots {
     admission: Admission,
+    /// The policy that the admission's limits come from.
+    policy: Arc<Policy>,
     shared: Arc<Shared>,
     own: Option<ActorRef<Slots>>,
     waiting: Vec<Waiting>,
@@ -76,7 +79,10 @@
 
 /// Starts the actor and its clock.
 pub(crate) fn spawn(shared: &Arc<Shared>) -> ActorRef<Slots> {
+    // Read before the limits, so that a change in between is seen by the next tick.
+    let policy = shared.policy.current();
     let slots = Slots {
+        policy,
         admission: Admission::new(admission_limits(shared)),
         shared: Arc::clone(shared),
         own: None,
@@ -199,10 +205,13 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
-        let limits = admission_limits(&self.shared);
-        self.shared
-            .observe_utilisation(limits.slots, TICK_INTERVAL_MS);
-        self.admission.set_limits(limits);
+        let slots = self.shared.limits().slots;
+        self.shared.observe_utilisation(slots, TICK_INTERVAL_MS);
+        let policy = self.shared.policy.current();
+        if !Arc::ptr_eq(&self.policy, &policy) {
+            self.admission.set_limits(admission_limits(&self.shared));
+            self.policy = policy;
+        }
         self.settle();
     }
 }
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -19,7 +19,7 @@
         policy_cell::PolicyCell,
     },
     observe::{counters::Counters, metrics::Metrics},
-    proto::control::AgentState,
+    proto::{control::AgentState, policy::Policy},
     settings::{AgentSettings, Settings},
     wire::connection_id::Route,
 };
@@ -63,6 +63,7 @@
     pub metrics: Metrics,
     pub clock: Clock,
     pub log: Logger,
+    limits: Mutex<(Arc<Policy>, EffectiveLimits)>,
     state: watch::Sender<AgentState>,
     peers: Mutex<Peers>,
     connections: AtomicU32,
@@ -84,7 +85,10 @@
         log: Logger,
     ) -> Arc<Self> {
         let members = Members::new(identity.route.agent, DEFAULT_OUTCOME_RETENTION_MS);
+        let current = policy.current();
+        let limits = effective_limits(&identity, &current);
         Arc::new(Self {
+            limits: Mutex::new((current, limits)),
             identity,
             policy,
             counters,
@@ -103,13 +107,15 @@
         })
     }
 
+    /// Limits in force; worked out once for each version of the policy.
     pub fn limits(&self) -> EffectiveLimits {
-        let scope = Scope {
-            service: &self.identity.service,
-            failure_domain: &self.identity.failure_domain,
-            host: &self.identity.name,
-        };
-        policy::effective_limits(&self.policy.current(), scope)
+        let policy = self.policy.current();
+        let mut cached = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        if !Arc::ptr_eq(&cached.0, &policy) {
+            let limits = effective_limits(&self.identity, &policy);
+            *cached = (policy, limits);
+        }
+        cached.1
     }
 
     pub fn state(&self) -> AgentState {
@@ -195,3 +201,12 @@
             .value()
     }
 }
+
+fn effective_limits(identity: &Identity, policy: &Policy) -> EffectiveLimits {
+    let scope = Scope {
+        service: &identity.service,
+        failure_domain: &identity.failure_domain,
+        host: &identity.name,
+    };
+    policy::effective_limits(policy, scope)
+}
