Share the sending to all balancers and the reading of a refusal

A goodbye repeated the loop of send_to_all, and the client turned a refusal into an answer only to type-check.

--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -134,9 +134,7 @@
             .send(Method::POST, "/v1/policy/changes", request)
             .await?;
         if response.status() == StatusCode::UNAUTHORIZED {
-            return succeeded(response)
-                .await
-                .map(|_| ChangeReply::Refused { faults: Vec::new() });
+            return Err(refusal(response).await);
         }
         self.decode(response).await
     }
@@ -171,10 +169,14 @@
 }
 
 async fn succeeded(response: Response) -> Result<Response, ClientError> {
-    let status = response.status();
-    if status.is_success() {
+    if response.status().is_success() {
         return Ok(response);
     }
+    Err(refusal(response).await)
+}
+
+async fn refusal(response: Response) -> ClientError {
+    let status = response.status();
     let text = response.text().await.unwrap_or_default().trim().to_owned();
-    RefusedSnafu { status, text }.fail()
+    ClientError::Refused { status, text }
 }
--- a/src/balancer/gossip.rs
+++ b/src/balancer/gossip.rs
@@ -134,9 +134,8 @@
 
     /// Tells the other balancers that this one leaves.
     pub fn send_goodbye(&self, inner: &InnerLink, policy_version: u64) {
-        for peer in self.peers.known() {
-            self.send_goodbye_to(inner, peer, policy_version);
-        }
+        let heartbeat = self.heartbeat(policy_version, Vec::new(), true);
+        self.send_to_all(inner, &Body::Heartbeat(heartbeat));
     }
 
     /// Tells one process that this balancer leaves.
