Forward flows without a token on the users' platform

Cause: the product could only forward QUIC flows whose connection ID names their agent; the users' platform brings flows without any token of ours. Before: nothing ran there.

--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value store as this project sees it.
 
-use std::{fmt, future::Future};
+use std::{fmt, future::Future, sync::Arc};
 
 use snafu::Snafu;
 
@@ -115,3 +115,113 @@
         lease: &Self::Lease,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
+
+/// An entry of the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Its key.
+    pub key: Arc<str>,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: Revision,
+}
+
+/// What has changed below a prefix.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Changes {
+    /// These entries were written; the watch goes on after `revision`.
+    Written {
+        /// The entries, oldest first.
+        entries: Vec<Entry>,
+        /// Revision up to which changes were told.
+        revision: Revision,
+    },
+    /// The store has dropped the history since the asked revision: everything must be read again.
+    HistoryLost,
+}
+
+/// What became of a write under a lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeasedWrite {
+    /// The entry was written and lives as long as the lease.
+    Written,
+    /// The lease has ended; nothing was written.
+    LeaseEnded,
+}
+
+/// A key-value store whose entries can live as long as a lease, with ranges and watches of
+/// prefixes.
+pub trait LeasedStore: Clone + Send + Sync + 'static {
+    /// Names a lease.
+    type Lease: Copy + fmt::Debug + Send + Sync;
+
+    /// Reads one entry; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives.
+    fn read(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, StoreError>> + Send;
+
+    /// Reads all entries below a prefix. With `may_be_stale` they may be seconds old.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives.
+    fn read_range(
+        &self,
+        prefix: &str,
+        may_be_stale: bool,
+    ) -> impl Future<Output = Result<Vec<Entry>, StoreError>> + Send;
+
+    /// Waits until something below a prefix has changed after a revision, or a time has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives.
+    fn watch_prefix(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<Changes, StoreError>> + Send;
+
+    /// Makes a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives.
+    fn create_lease(
+        &self,
+        ttl_ms: u64,
+    ) -> impl Future<Output = Result<Self::Lease, StoreError>> + Send;
+
+    /// Renews a lease; returns whether it was still held.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives.
+    fn keep_lease(
+        &self,
+        lease: Self::Lease,
+    ) -> impl Future<Output = Result<bool, StoreError>> + Send;
+
+    /// Ends a lease and removes its entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives.
+    fn end_lease(&self, lease: Self::Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Writes an entry that lives as long as a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no answer arrives; the write may have taken effect.
+    fn write_leased(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: Self::Lease,
+    ) -> impl Future<Output = Result<LeasedWrite, StoreError>> + Send;
+}
--- /dev/null
+++ b/src/forward/agent_run.rs
@@ -0,0 +1,238 @@
+//! Drives an agent: one task moves all packets.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use slog::{Logger, info};
+use tokio::time::{self, MissedTickBehavior};
+
+use super::{
+    agent::{AgentCore, AgentVerdict, Destination},
+    balancer::Verdict,
+    decision::DecisionLog,
+    node::{Command, Node},
+    registrar::Learned,
+    settings::{ForwardSettings, TargetSettings},
+    socket::{MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
+    target::Target,
+};
+use crate::{
+    clock::Clock,
+    control::store::LeasedStore,
+    flow::packet::PacketFormat,
+    membership::instance::Instance,
+    observe::counters::Event,
+};
+
+const TICK_INTERVAL_MS: u64 = 20;
+/// Time for which a stopping agent goes on forwarding what others still send to it.
+const LEAVE_GRACE_MS: u64 = 1_000;
+/// Time after which an agent that hears no balancer reach the store asks it itself.
+const STORE_SILENCE_MS: u64 = 2_000;
+/// Time by which agents fetch newer routes later than balancers, which need them first.
+const FETCH_DELAY_MS: u64 = 1_000;
+
+/// An agent with its sockets.
+#[derive(Debug)]
+pub struct AgentNode<F, L> {
+    core: AgentCore<F>,
+    node: Node<L>,
+    outbound: PacketSocket,
+    target_address: SocketAddrV4,
+    decisions: DecisionLog,
+    clock: Clock,
+    caller_port: u16,
+    store_heard_at_ms: u64,
+    newer_since_ms: Option<u64>,
+    log: Logger,
+}
+
+impl<F: PacketFormat, L: Copy + Send + Sync + 'static> AgentNode<F, L> {
+    /// Makes an agent; `outbound` takes the packets that its target sends.
+    #[must_use]
+    pub fn new(
+        settings: &ForwardSettings,
+        target: &TargetSettings,
+        own: Instance,
+        format: F,
+        node: Node<L>,
+        outbound: PacketSocket,
+        log: Logger,
+    ) -> Self {
+        let clock = Clock::new();
+        let now_ms = clock.now_ms();
+        let seeds = settings.seeds.clone();
+        let beside = Target::new(target.heartbeat_interval_ms);
+        Self {
+            core: AgentCore::new(format, own, seeds, beside, now_ms),
+            decisions: DecisionLog::new(log.clone(), node.counters.clone()),
+            node,
+            outbound,
+            target_address: target.address,
+            clock,
+            caller_port: settings.caller_port,
+            store_heard_at_ms: now_ms,
+            newer_since_ms: None,
+            log,
+        }
+    }
+
+    /// Forwards until the process is asked to stop, and a little longer.
+    pub async fn run<S: LeasedStore<Lease = L>>(mut self, store: S) {
+        let mut buffer = [0; MAX_DATAGRAM_LEN];
+        let mut ticks = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ends_at_ms = u64::MAX;
+        while self.clock.now_ms() < ends_at_ms {
+            tokio::select! {
+                _ = self.node.packets.readable() => self.read_inner(&mut buffer),
+                _ = self.outbound.readable() => self.read_target(&mut buffer),
+                _ = self.node.control.readable() => self.read_notices(&mut buffer),
+                Some(learned) = self.node.learned.recv() => self.learn(learned),
+                Some(command) = self.node.commands.recv() => {
+                    if self.obey(command) && ends_at_ms == u64::MAX {
+                        ends_at_ms = self.clock.now_ms() + LEAVE_GRACE_MS;
+                    }
+                }
+                _ = ticks.tick() => self.tick(ends_at_ms == u64::MAX),
+            }
+            self.send_resets();
+            self.node.send_notices(&mut self.core.peering.outbox);
+            let now_ms = self.clock.now_ms();
+            self.decisions
+                .record(&mut self.core.peering.decisions, now_ms);
+        }
+        self.node.end_entry(&store, &self.log).await;
+    }
+
+    /// Obeys a command. Returns whether it asks to stop.
+    fn obey(&mut self, command: Command) -> bool {
+        let now_ms = self.clock.now_ms();
+        match command {
+            Command::Heartbeat(beat) => {
+                self.core.heartbeat(beat, now_ms);
+            }
+            Command::TargetEnded(id) => self.core.target_ended(&id, now_ms),
+            Command::Stop => {
+                info!(self.log, "stopping"; "flows" => self.core.flows());
+                let load = Some(self.core.load(now_ms));
+                let version = self.core.route_version();
+                self.core.peering.leave(version, load, now_ms);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn read_inner(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
+        let now_ms = self.clock.now_ms();
+        for _ in 0..MAX_BATCH {
+            let Some((len, _)) = self.node.packets.receive(buffer) else {
+                return;
+            };
+            let verdict = self.core.inner_packet(&mut buffer[..len], now_ms);
+            self.carry_out(&buffer[..len], verdict);
+        }
+    }
+
+    fn read_target(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
+        let now_ms = self.clock.now_ms();
+        for _ in 0..MAX_BATCH {
+            let Some((len, _)) = self.outbound.receive(buffer) else {
+                return;
+            };
+            let verdict = self.core.target_packet(&mut buffer[..len], now_ms);
+            self.carry_out(&buffer[..len], verdict);
+        }
+    }
+
+    fn carry_out(&self, datagram: &[u8], verdict: AgentVerdict<F::Reset>) {
+        match verdict {
+            Ok(Destination::Target) => {
+                self.outbound.send(datagram, self.target_address);
+                self.node.counters.count(Event::PacketForwarded);
+            }
+            Ok(Destination::Instance(address)) => {
+                self.node.packets.send(datagram, address);
+                self.node.counters.count(Event::PacketForwarded);
+            }
+            Ok(Destination::Caller(caller)) => {
+                self.node.packets.send(datagram, self.at_caller(caller));
+                self.node.counters.count(Event::PacketReturned);
+            }
+            Err(Verdict::Reset(caller, reset)) => {
+                self.node
+                    .packets
+                    .send(reset.as_ref(), self.at_caller(caller));
+                self.node.counters.count(Event::ResetSent);
+            }
+            Err(Verdict::Send(_) | Verdict::Drop) => {}
+        }
+    }
+
+    fn at_caller(&self, mut caller: SocketAddrV4) -> SocketAddrV4 {
+        caller.set_port(self.caller_port);
+        caller
+    }
+
+    fn send_resets(&mut self) {
+        for (caller, reset) in self.core.resets() {
+            self.node
+                .packets
+                .send(reset.as_ref(), self.at_caller(caller));
+            self.node.counters.count(Event::ResetSent);
+        }
+    }
+
+    fn read_notices(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
+        let now_ms = self.clock.now_ms();
+        let core = &mut self.core;
+        self.node
+            .read_notices(buffer, |from, notice| core.notice(from, notice, now_ms));
+    }
+
+    fn learn(&mut self, learned: Learned) {
+        let now_ms = self.clock.now_ms();
+        match learned {
+            Learned::Reached => self.core.peering.store_reached(now_ms),
+            Learned::Instances(instances) => {
+                let version = self.core.route_version();
+                for instance in instances {
+                    let load = Some(self.core.load(now_ms));
+                    self.core.peering.learn(instance, version, load, now_ms);
+                }
+            }
+            Learned::Routes(routes) => {
+                if self.node.keep_routes(&routes) {
+                    self.core
+                        .set_routes(routes.version(), routes.idle_timeout_ms());
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, is_running: bool) {
+        let now_ms = self.clock.now_ms();
+        self.core.tick(now_ms);
+        self.node
+            .set_ready(is_running && self.core.is_ready(now_ms));
+        if self.core.peering.hears_of_store(now_ms) {
+            self.store_heard_at_ms = now_ms;
+        }
+        let silent_ms = now_ms.saturating_sub(self.store_heard_at_ms);
+        self.node.set_store_needed(silent_ms > STORE_SILENCE_MS);
+        self.fetch_newer_routes(now_ms);
+    }
+
+    fn fetch_newer_routes(&mut self, now_ms: u64) {
+        let version = self.core.route_version();
+        let Some((address, _)) = self.core.peering.newer_routes(version, now_ms) else {
+            self.newer_since_ms = None;
+            return;
+        };
+        let since_ms = *self.newer_since_ms.get_or_insert(now_ms);
+        if now_ms.saturating_sub(since_ms) >= FETCH_DELAY_MS {
+            self.newer_since_ms = Some(now_ms);
+            self.node.fetch_routes(address);
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/balancer_run.rs
@@ -0,0 +1,150 @@
+//! Drives a balancer: one task moves all packets.
+
+use std::{sync::Arc, time::Duration};
+
+use slog::{Logger, info};
+use tokio::time::{self, MissedTickBehavior};
+
+use super::{
+    balancer::{BalancerCore, Verdict},
+    decision::DecisionLog,
+    node::{Command, Node},
+    registrar::Learned,
+    settings::ForwardSettings,
+    socket::{MAX_BATCH, MAX_DATAGRAM_LEN},
+};
+use crate::{
+    clock::Clock,
+    control::store::LeasedStore,
+    flow::packet::PacketFormat,
+    membership::instance::Instance,
+    observe::counters::Event,
+};
+
+const TICK_INTERVAL_MS: u64 = 50;
+/// Time in which the fabric notices that a stopping balancer is not ready and sends it no more:
+/// two probes, half a second apart, with room for a slow one.
+const ROTATE_OUT_MS: u64 = 2_000;
+
+/// A balancer with its sockets.
+#[derive(Debug)]
+pub struct BalancerNode<F, L> {
+    core: BalancerCore<F>,
+    node: Node<L>,
+    decisions: DecisionLog,
+    clock: Clock,
+    caller_port: u16,
+    log: Logger,
+}
+
+impl<F: PacketFormat, L: Copy + Send + Sync + 'static> BalancerNode<F, L> {
+    /// Makes a balancer.
+    #[must_use]
+    pub fn new(
+        settings: &ForwardSettings,
+        own: Instance,
+        format: F,
+        node: Node<L>,
+        log: Logger,
+    ) -> Self {
+        let clock = Clock::new();
+        Self {
+            core: BalancerCore::new(format, own, settings.seeds.clone(), clock.now_ms()),
+            decisions: DecisionLog::new(log.clone(), node.counters.clone()),
+            node,
+            clock,
+            caller_port: settings.caller_port,
+            log,
+        }
+    }
+
+    /// Forwards until the process is asked to stop, and then until the fabric sends no more.
+    pub async fn run<S: LeasedStore<Lease = L>>(mut self, store: S) {
+        let mut buffer = [0; MAX_DATAGRAM_LEN];
+        let mut ticks = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ends_at_ms = u64::MAX;
+        while self.clock.now_ms() < ends_at_ms {
+            tokio::select! {
+                _ = self.node.packets.readable() => self.forward(&mut buffer),
+                _ = self.node.control.readable() => self.read_notices(&mut buffer),
+                Some(learned) = self.node.learned.recv() => self.learn(learned),
+                Some(command) = self.node.commands.recv() => {
+                    if matches!(command, Command::Stop) && ends_at_ms == u64::MAX {
+                        ends_at_ms = self.clock.now_ms() + ROTATE_OUT_MS;
+                        info!(self.log, "stopping"; "flows" => self.core.flows());
+                    }
+                }
+                _ = ticks.tick() => self.tick(ends_at_ms == u64::MAX),
+            }
+            self.node.send_notices(&mut self.core.peering.outbox);
+            let now_ms = self.clock.now_ms();
+            self.decisions
+                .record(&mut self.core.peering.decisions, now_ms);
+        }
+        let version = self.core.routes().version();
+        self.core.peering.leave(version, None, self.clock.now_ms());
+        self.node.send_notices(&mut self.core.peering.outbox);
+        self.node.end_entry(&store, &self.log).await;
+    }
+
+    fn forward(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
+        let now_ms = self.clock.now_ms();
+        for _ in 0..MAX_BATCH {
+            let Some((len, _)) = self.node.packets.receive(buffer) else {
+                return;
+            };
+            match self.core.caller_packet(&mut buffer[..len], now_ms) {
+                Verdict::Send(agent) => {
+                    self.node.packets.send(&buffer[..len], agent);
+                    self.node.counters.count(Event::PacketForwarded);
+                }
+                Verdict::Reset(caller, reset) => {
+                    let mut to = caller;
+                    to.set_port(self.caller_port);
+                    self.node.packets.send(reset.as_ref(), to);
+                    self.node.counters.count(Event::ResetSent);
+                }
+                Verdict::Drop => {}
+            }
+        }
+    }
+
+    fn read_notices(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
+        let now_ms = self.clock.now_ms();
+        let core = &mut self.core;
+        self.node
+            .read_notices(buffer, |from, notice| core.notice(from, notice, now_ms));
+    }
+
+    fn learn(&mut self, learned: Learned) {
+        let now_ms = self.clock.now_ms();
+        let version = self.core.routes().version();
+        match learned {
+            Learned::Reached => self.core.peering.store_reached(now_ms),
+            Learned::Instances(instances) => {
+                for instance in instances {
+                    self.core.peering.learn(instance, version, None, now_ms);
+                }
+            }
+            Learned::Routes(routes) => {
+                if self.node.keep_routes(&routes) {
+                    self.core.set_routes(Arc::clone(&routes));
+                    let version = routes.version();
+                    self.core.peering.tell_all(version, None, now_ms);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, is_running: bool) {
+        let now_ms = self.clock.now_ms();
+        self.core.tick(now_ms);
+        self.node
+            .set_ready(is_running && self.core.is_ready(now_ms));
+        let version = self.core.routes().version();
+        if let Some((address, _)) = self.core.peering.newer_routes(version, now_ms) {
+            self.node.fetch_routes(address);
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,19 @@
+//! Forwarding of flows without a token, between callers, agents and targets.
+//!
+//! [`balancer`] and [`agent`] decide, without input or output and on a clock that is passed in;
+//! [`balancer_run`] and [`agent_run`] drive them.
+
+pub mod agent;
+pub mod agent_flows;
+pub mod agent_run;
+pub mod balancer;
+pub mod balancer_run;
+pub mod decision;
+pub mod node;
+pub mod notices;
+pub mod peering;
+pub mod registrar;
+pub mod route_fetch;
+pub mod settings;
+pub mod socket;
+pub mod target;
--- /dev/null
+++ b/src/forward/node.rs
@@ -0,0 +1,257 @@
+//! What the drivers of balancers and agents share: sockets, tasks and the way to the core.
+
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use slog::{Logger, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    time,
+};
+
+use super::{
+    notices::{Notice, Outbox},
+    registrar::{Learned, Registrar, RouteDocument, RouteWatch},
+    route_fetch,
+    settings::ForwardSettings,
+    socket::{BindError, MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
+    target::Heartbeat,
+};
+use crate::{
+    control::store::LeasedStore,
+    flow::routes::RouteTable,
+    membership::instance::Instance,
+    observe::counters::{Counters, Event},
+};
+
+/// Commands and news that wait for the core.
+const QUEUE_LEN: usize = 64;
+/// Time for the last call of the store when a process ends.
+const END_LEASE_TIMEOUT_MS: u64 = 300;
+
+/// Why a process cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A UDP address cannot be bound.
+    #[snafu(display("{source}"))]
+    Packets {
+        /// The underlying error.
+        source: BindError,
+    },
+    /// The TCP address for fetches cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}; check that the address is free"))]
+    Control {
+        /// The address.
+        address: SocketAddrV4,
+        /// The underlying error.
+        source: std::io::Error,
+    },
+}
+
+/// What a process is asked to do from outside.
+#[derive(Debug)]
+pub enum Command {
+    /// The target has sent a heartbeat.
+    Heartbeat(Heartbeat),
+    /// The target with this name has ended.
+    TargetEnded(Arc<str>),
+    /// The process is asked to stop.
+    Stop,
+}
+
+/// Reaches a running process.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    commands: mpsc::Sender<Command>,
+    is_ready: Arc<AtomicBool>,
+}
+
+impl Handle {
+    /// Gives the process a command.
+    pub async fn tell(&self, command: Command) {
+        // The receiver is gone only while the process exits.
+        let _ = self.commands.send(command).await;
+    }
+
+    /// Whether packets can be forwarded.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+}
+
+/// The outside of a process: what its driver reads from and writes to.
+#[derive(Debug)]
+pub struct Node<L> {
+    /// Takes flows' packets.
+    pub packets: PacketSocket,
+    /// Takes notices.
+    pub control: PacketSocket,
+    /// Brings commands.
+    pub commands: mpsc::Receiver<Command>,
+    /// Brings what is learned from the store and from other processes.
+    pub learned: mpsc::Receiver<Learned>,
+    /// Counts.
+    pub counters: Counters,
+    is_ready: Arc<AtomicBool>,
+    routes: watch::Sender<Arc<RouteTable>>,
+    store_needed: watch::Sender<bool>,
+    lease: watch::Receiver<Option<L>>,
+    news: mpsc::Sender<Learned>,
+    fetching: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl<L: Copy + Send + Sync + 'static> Node<L> {
+    /// Binds the sockets and starts the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] when an address cannot be bound.
+    pub async fn start<S, D>(
+        settings: &ForwardSettings,
+        own: &Instance,
+        store: S,
+        document: D,
+        counters: Counters,
+        log: &Logger,
+    ) -> Result<(Self, Handle), StartError>
+    where
+        S: LeasedStore<Lease = L>,
+        D: RouteDocument,
+    {
+        let packets = PacketSocket::bind(settings.packet_address, counters.clone())
+            .await
+            .context(PacketsSnafu)?;
+        let control = PacketSocket::bind(settings.control_address, counters.clone())
+            .await
+            .context(PacketsSnafu)?;
+        let address = settings.control_address;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ControlSnafu { address })?;
+        let (commands_in, commands) = mpsc::channel(QUEUE_LEN);
+        let (news, learned) = mpsc::channel(QUEUE_LEN);
+        let (routes, routes_out) = watch::channel(Arc::new(RouteTable::default()));
+        let (store_needed, needed) = watch::channel(false);
+        let (lease_in, lease) = watch::channel(None);
+        tokio::spawn(route_fetch::serve(listener, routes_out, log.clone()));
+        let registrar = Registrar {
+            store,
+            document,
+            own: own.clone(),
+            learned: news.clone(),
+            counters: counters.clone(),
+            log: log.clone(),
+        };
+        let route_watch = match settings.target {
+            Some(_) => RouteWatch::WhenNeeded(needed),
+            None => RouteWatch::Always,
+        };
+        tokio::spawn(registrar.clone().keep_entry(lease_in));
+        tokio::spawn(registrar.follow_routes(route_watch));
+        let is_ready = Arc::new(AtomicBool::new(false));
+        let handle = Handle {
+            commands: commands_in,
+            is_ready: Arc::clone(&is_ready),
+        };
+        let node = Self {
+            packets,
+            control,
+            commands,
+            learned,
+            counters,
+            is_ready,
+            routes,
+            store_needed,
+            lease,
+            news,
+            fetching: None,
+        };
+        Ok((node, handle))
+    }
+
+    /// Says whether packets can be forwarded.
+    pub fn set_ready(&self, is_ready: bool) {
+        self.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// Says whether this process must follow the routes in the store itself.
+    pub fn set_store_needed(&self, is_needed: bool) {
+        self.store_needed.send_if_modified(|needed| {
+            let is_changed = *needed != is_needed;
+            *needed = is_needed;
+            is_changed
+        });
+    }
+
+    /// Keeps newer routes for other processes. Returns them if they were newer.
+    pub fn keep_routes(&self, routes: &Arc<RouteTable>) -> bool {
+        self.routes.send_if_modified(|kept| {
+            let is_newer = routes.version() > kept.version();
+            if is_newer {
+                *kept = Arc::clone(routes);
+            }
+            is_newer
+        })
+    }
+
+    /// Fetches newer routes from another process, one fetch at a time.
+    pub fn fetch_routes(&mut self, address: SocketAddrV4) {
+        if self.fetching.as_ref().is_some_and(|task| !task.is_finished()) {
+            return;
+        }
+        let news = self.news.clone();
+        self.fetching = Some(tokio::spawn(async move {
+            if let Some(routes) = route_fetch::fetch(address).await {
+                // The receiver is gone only while the process exits.
+                let _ = news.send(Learned::Routes(Arc::new(routes))).await;
+            }
+        }));
+    }
+
+    /// Reads the notices that have arrived.
+    pub fn read_notices(
+        &self,
+        buffer: &mut [u8; MAX_DATAGRAM_LEN],
+        mut take: impl FnMut(SocketAddrV4, Notice),
+    ) {
+        for _ in 0..MAX_BATCH {
+            let Some((len, from)) = self.control.receive(buffer) else {
+                return;
+            };
+            match Notice::decode(&buffer[..len]) {
+                Some(notice) => take(from, notice),
+                None => self.counters.count(Event::DroppedNotice),
+            }
+        }
+    }
+
+    /// Sends the notices that wait.
+    pub fn send_notices(&self, outbox: &mut Outbox) {
+        for (to, notice) in outbox.drain() {
+            self.control.send(&notice.encode(), to);
+        }
+    }
+
+    /// Removes the own entry from the store, if it answers in time.
+    pub async fn end_entry<S: LeasedStore<Lease = L>>(&self, store: &S, log: &Logger) {
+        let Some(lease) = *self.lease.borrow() else {
+            return;
+        };
+        self.counters.count(Event::StoreCalled);
+        let timeout = Duration::from_millis(END_LEASE_TIMEOUT_MS);
+        match time::timeout(timeout, store.end_lease(lease)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => warn!(log, "entry left to its lease"; "error" => %error),
+            Err(_) => warn!(log, "entry left to its lease"; "error" => "no answer in time"),
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/notices.rs
@@ -0,0 +1,157 @@
+//! Notices between processes, to and from bytes.
+
+use std::net::SocketAddrV4;
+
+use prost::Message;
+
+use crate::{
+    flow::packet::FlowKey,
+    membership::instance::{Instance, Presence, TargetLoad},
+    proto::flow as wire,
+};
+
+/// Most flows in one notice, so that it fits one datagram.
+const MAX_FLOWS: usize = 50;
+/// Most instances in one notice, so that it fits one datagram.
+const MAX_MEMBERS: usize = 12;
+
+/// A notice from one process to another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Notice {
+    /// The sender lives; with whether it asks for the instances that the receiver knows.
+    Presence(Box<Presence>, bool),
+    /// How busy the sender's target is.
+    Load(TargetLoad),
+    /// Flows that the target beside `owner` holds.
+    FlowOwner {
+        /// Packet address of the agent.
+        owner: SocketAddrV4,
+        /// The flows.
+        flows: Vec<FlowKey>,
+    },
+    /// Instances that the sender knows.
+    Members(Vec<Instance>),
+}
+
+impl Notice {
+    /// Encodes the notice.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        use wire::notice::Body;
+        let body = match self {
+            Self::Presence(presence, wants_members) => Body::Presence(wire::Presence {
+                instance: Some(presence.instance.to_message()),
+                is_leaving: presence.is_leaving,
+                wants_members: *wants_members,
+                route_version: presence.route_version,
+                load: presence.load.as_ref().map(|load| load.to_message(true)),
+                reaches_store: presence.reaches_store,
+            }),
+            Self::Load(load) => Body::Load(load.to_message(false)),
+            Self::FlowOwner { owner, flows } => Body::FlowOwner(wire::FlowOwner {
+                owner_ip: (*owner.ip()).into(),
+                owner_port: owner.port().into(),
+                flows: flows.iter().map(flow_message).collect(),
+            }),
+            Self::Members(instances) => Body::Members(wire::Members {
+                instances: instances.iter().map(Instance::to_message).collect(),
+            }),
+        };
+        wire::Notice { body: Some(body) }.encode_to_vec()
+    }
+
+    /// Decodes a notice; `None` if it makes no sense.
+    #[must_use]
+    pub fn decode(datagram: &[u8]) -> Option<Self> {
+        use wire::notice::Body;
+        Some(match wire::Notice::decode(datagram).ok()?.body? {
+            Body::Presence(presence) => Self::Presence(
+                Box::new(Presence {
+                    instance: Instance::from_message(presence.instance.as_ref()?)?,
+                    is_leaving: presence.is_leaving,
+                    route_version: presence.route_version,
+                    load: presence.load.as_ref().map(TargetLoad::from_message),
+                    reaches_store: presence.reaches_store,
+                }),
+                presence.wants_members,
+            ),
+            Body::Load(load) => Self::Load(TargetLoad::from_message(&load)),
+            Body::FlowOwner(notice) => Self::FlowOwner {
+                owner: address(notice.owner_ip, notice.owner_port)?,
+                flows: notice.flows.iter().filter_map(flow_key).collect(),
+            },
+            Body::Members(members) => {
+                let instances = members.instances.iter();
+                Self::Members(instances.filter_map(Instance::from_message).collect())
+            }
+        })
+    }
+}
+
+fn flow_message(flow: &FlowKey) -> wire::Flow {
+    wire::Flow {
+        caller_ip: (*flow.caller.ip()).into(),
+        caller_port: flow.caller.port().into(),
+        service_ip: (*flow.service.ip()).into(),
+        service_port: flow.service.port().into(),
+    }
+}
+
+fn flow_key(flow: &wire::Flow) -> Option<FlowKey> {
+    Some(FlowKey {
+        caller: address(flow.caller_ip, flow.caller_port)?,
+        service: address(flow.service_ip, flow.service_port)?,
+    })
+}
+
+fn address(ip: u32, port: u32) -> Option<SocketAddrV4> {
+    let port = u16::try_from(port).ok()?;
+    Some(SocketAddrV4::new(ip.into(), port))
+}
+
+/// Notices that wait to be sent.
+#[derive(Clone, Debug, Default)]
+pub struct Outbox {
+    notices: Vec<(SocketAddrV4, Notice)>,
+}
+
+impl Outbox {
+    /// Adds a notice.
+    pub fn push(&mut self, to: SocketAddrV4, notice: Notice) {
+        self.notices.push((to, notice));
+    }
+
+    /// Adds a flow's owner, together with others for the same receiver where they fit.
+    pub fn push_owner(&mut self, to: SocketAddrV4, owner: SocketAddrV4, flow: FlowKey) {
+        for (receiver, notice) in &mut self.notices {
+            if let Notice::FlowOwner { owner: same, flows } = notice
+                && *receiver == to
+                && *same == owner
+                && flows.len() < MAX_FLOWS
+            {
+                flows.push(flow);
+                return;
+            }
+        }
+        let flows = vec![flow];
+        self.push(to, Notice::FlowOwner { owner, flows });
+    }
+
+    /// Adds a list of instances, in as many notices as it needs.
+    pub fn push_members(&mut self, to: SocketAddrV4, instances: &[Instance]) {
+        for chunk in instances.chunks(MAX_MEMBERS) {
+            self.push(to, Notice::Members(chunk.to_vec()));
+        }
+    }
+
+    /// Takes all notices out.
+    pub fn drain(&mut self) -> impl Iterator<Item = (SocketAddrV4, Notice)> + '_ {
+        self.notices.drain(..)
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.notices.is_empty()
+    }
+}
--- /dev/null
+++ b/src/forward/target.rs
@@ -0,0 +1,210 @@
+//! What an agent believes of the target beside it.
+
+use std::sync::Arc;
+
+use crate::membership::instance::TargetState;
+
+/// Heartbeat intervals after which a silent target counts as gone; one may be lost on the way.
+const SILENT_INTERVALS: u64 = 3;
+/// Time in which a target answers a SYN, even a busy one, with room for a paused machine.
+const SYN_ANSWER_MS: u64 = 120;
+/// Unanswered SYNs from which on a target counts as unresponsive.
+const UNANSWERED_SYNS: u32 = 2;
+/// Pause between SYNs that try an unresponsive target.
+const RETRY_INTERVAL_MS: u64 = 500;
+/// Earlier starts of targets whose late heartbeats are recognized.
+const REMEMBERED_STARTS: usize = 8;
+
+/// A heartbeat of the target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// Name of the target's start.
+    pub id: Arc<str>,
+    /// Time of its start in Unix milliseconds, by its own clock.
+    pub started_at_unix_ms: u64,
+    /// Rises with each heartbeat of a start.
+    pub sequence: u64,
+    /// Service of the target.
+    pub service: Arc<str>,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Requests that it runs at once.
+    pub capacity: u32,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_left_ms: u64,
+}
+
+/// What a heartbeat has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing that others must know at once.
+    Refreshed,
+    /// The state or the service.
+    State,
+    /// Another start of the target: it holds none of the flows of the one before.
+    Restarted,
+    /// The heartbeat came late and was ignored.
+    Late,
+}
+
+#[derive(Clone, Debug)]
+struct Start {
+    id: Arc<str>,
+    started_at_unix_ms: u64,
+}
+
+/// The target beside an agent.
+#[derive(Clone, Debug)]
+pub struct Target {
+    heartbeat_interval_ms: u64,
+    current: Option<Heartbeat>,
+    heard_at_ms: u64,
+    is_gone: bool,
+    earlier: Vec<Start>,
+    unanswered_since_ms: Option<u64>,
+    unanswered_syns: u32,
+    tried_at_ms: u64,
+}
+
+impl Target {
+    /// Makes a target that was not heard of yet.
+    ///
+    /// ```
+    /// use bamboowind::{forward::target::Target, membership::instance::TargetState};
+    ///
+    /// assert_eq!(Target::new(1_000).state(0), TargetState::Unknown);
+    /// ```
+    #[must_use]
+    pub fn new(heartbeat_interval_ms: u64) -> Self {
+        Self {
+            heartbeat_interval_ms,
+            current: None,
+            heard_at_ms: 0,
+            is_gone: false,
+            earlier: Vec::new(),
+            unanswered_since_ms: None,
+            unanswered_syns: 0,
+            tried_at_ms: 0,
+        }
+    }
+
+    /// The last heartbeat that was taken.
+    #[must_use]
+    pub fn current(&self) -> Option<&Heartbeat> {
+        self.current.as_ref()
+    }
+
+    /// Time for which the target is still slow, in milliseconds.
+    #[must_use]
+    pub fn cold_left_ms(&self, now_ms: u64) -> u64 {
+        let left = self.current.as_ref().map_or(0, |beat| beat.cold_left_ms);
+        left.saturating_sub(now_ms.saturating_sub(self.heard_at_ms))
+    }
+
+    /// Takes a heartbeat.
+    pub fn heartbeat(&mut self, beat: Heartbeat, now_ms: u64) -> Change {
+        let is_earlier = |start: &Start| {
+            start.id == beat.id && start.started_at_unix_ms == beat.started_at_unix_ms
+        };
+        if self.earlier.iter().any(is_earlier) {
+            return Change::Late;
+        }
+        let change = match &self.current {
+            None => Change::State,
+            Some(current)
+                if current.id == beat.id
+                    && current.started_at_unix_ms == beat.started_at_unix_ms =>
+            {
+                if beat.sequence <= current.sequence {
+                    return Change::Late;
+                }
+                let is_same = current.is_draining == beat.is_draining
+                    && current.service == beat.service
+                    && !self.is_gone;
+                if is_same {
+                    Change::Refreshed
+                } else {
+                    Change::State
+                }
+            }
+            Some(current) => {
+                let silent_ms = now_ms.saturating_sub(self.heard_at_ms);
+                let is_silent = silent_ms > 2 * self.heartbeat_interval_ms;
+                if beat.started_at_unix_ms < current.started_at_unix_ms && !is_silent {
+                    return Change::Late;
+                }
+                let start = Start {
+                    id: Arc::clone(&current.id),
+                    started_at_unix_ms: current.started_at_unix_ms,
+                };
+                if self.earlier.len() == REMEMBERED_STARTS {
+                    self.earlier.remove(0);
+                }
+                self.earlier.push(start);
+                Change::Restarted
+            }
+        };
+        self.current = Some(beat);
+        self.heard_at_ms = now_ms;
+        self.is_gone = false;
+        self.answered();
+        change
+    }
+
+    /// The target says that it ends. Returns whether it is the current one.
+    pub fn ended(&mut self, id: &str) -> bool {
+        let is_current = self.current.as_ref().is_some_and(|beat| *beat.id == *id);
+        self.is_gone |= is_current;
+        is_current
+    }
+
+    /// A SYN was handed to the target.
+    pub fn syn_sent(&mut self, now_ms: u64) {
+        self.unanswered_since_ms.get_or_insert(now_ms);
+        self.unanswered_syns += 1;
+        self.tried_at_ms = now_ms;
+    }
+
+    /// The target has sent a packet.
+    pub fn answered(&mut self) {
+        self.unanswered_since_ms = None;
+        self.unanswered_syns = 0;
+    }
+
+    fn is_unresponsive(&self, now_ms: u64) -> bool {
+        self.unanswered_syns >= UNANSWERED_SYNS
+            && self
+                .unanswered_since_ms
+                .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) > SYN_ANSWER_MS)
+    }
+
+    /// State towards new flows.
+    #[must_use]
+    pub fn state(&self, now_ms: u64) -> TargetState {
+        let Some(beat) = &self.current else {
+            return TargetState::Unknown;
+        };
+        let silent_ms = now_ms.saturating_sub(self.heard_at_ms);
+        if self.is_gone || beat.is_draining {
+            TargetState::Draining
+        } else if silent_ms > SILENT_INTERVALS * self.heartbeat_interval_ms
+            || self.is_unresponsive(now_ms)
+        {
+            TargetState::Unresponsive
+        } else {
+            TargetState::Ready
+        }
+    }
+
+    /// Whether a SYN may be handed to the target now.
+    #[must_use]
+    pub fn takes_syn(&self, now_ms: u64) -> bool {
+        match self.state(now_ms) {
+            TargetState::Ready => true,
+            TargetState::Unresponsive => {
+                !self.is_gone && now_ms.saturating_sub(self.tried_at_ms) >= RETRY_INTERVAL_MS
+            }
+            TargetState::Unknown | TargetState::Draining => false,
+        }
+    }
+}
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -37,6 +37,28 @@
     RetrySent => "retry_sent",
     /// A first packet was refused because no agent takes new flows.
     FlowRefused => "flow_refused",
+    /// A new flow was given to an agent.
+    FlowPlaced => "flow_placed",
+    /// An agent passed a SYN on to another agent.
+    FlowPassedOn => "flow_passed_on",
+    /// A packet of an unknown flow was sent to an agent that may know it.
+    FlowLookedUp => "flow_looked_up",
+    /// The owner of a flow was learned.
+    FlowOwnerLearned => "flow_owner_learned",
+    /// An open flow was ended because its target is gone.
+    FlowLost => "flow_lost",
+    /// Another instance was learned of, left or was forgotten.
+    MemberChanged => "member_changed",
+    /// The state of the own target has changed.
+    TargetChanged => "target_changed",
+    /// New routes came into force.
+    RoutesChanged => "routes_changed",
+    /// A notice that cannot be read was dropped.
+    DroppedNotice => "dropped_notice",
+    /// A heartbeat or an entry that names no usable target was ignored.
+    IgnoredReport => "ignored_report",
+    /// A call of the store failed or was refused.
+    StoreCallFailed => "store_call_failed",
     /// A packet of a lost flow was answered with a stateless reset.
     ResetSent => "reset_sent",
     /// A packet whose header cannot be read was dropped.
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -8,6 +8,10 @@
 #[allow(clippy::unreadable_literal)]
 #[rustfmt::skip]
 pub mod fields_table;
+/// Messages between the processes that forward flows without a token.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[rustfmt::skip]
+pub mod flow;
 /// The operators' configuration.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 #[rustfmt::skip]
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,7 +6,7 @@
     DescriptorProto, FileDescriptorProto, FileDescriptorSet, field_descriptor_proto as field,
 };
 
-const SCHEMAS: [&str; 3] = ["settings", "policy", "control"];
+const SCHEMAS: [&str; 4] = ["settings", "policy", "control", "flow"];
 const YAML_SCHEMAS: [&str; 2] = ["settings", "policy"];
 const OUTPUT_FOLDER: &str = "src/proto";
 /// Path of `message_type` in a file descriptor, and of `field` in a message.
