Watch the routes from the store's revision

Cause: a restarted balancer watched from the revision of the routes' own last change; once that history was dropped the store answered 410 at once, the routes were read again, and so on without a pause (1,000 to 1,900 calls in ten seconds for each restarted balancer, seen by printing each call). Agents watched too, because a balancer counted as without store 3 s into a watch that waits 10 s. Change: reading an entry also gives the store's revision, from which the watch starts; a lost history is followed by a pause; contact with the store outlasts a watch.

--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -127,6 +127,16 @@
     pub revision: Revision,
 }
 
+/// An entry as it was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reading {
+    /// The entry; `None` if there is none.
+    pub entry: Option<Entry>,
+    /// Revision of the store at that time. A watch starts here and not at the entry's revision,
+    /// whose history may be gone.
+    pub store_revision: Revision,
+}
+
 /// What has changed below a prefix.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Changes {
@@ -156,12 +166,12 @@
     /// Names a lease.
     type Lease: Copy + fmt::Debug + Send + Sync;
 
-    /// Reads one entry; `None` if there is none.
+    /// Reads one entry, with the revision from which a watch goes on.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] when no answer arrives.
-    fn read(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, StoreError>> + Send;
+    fn read(&self, key: &str) -> impl Future<Output = Result<Reading, StoreError>> + Send;
 
     /// Reads all entries below a prefix. With `may_be_stale` they may be seconds old.
     ///
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -20,8 +20,8 @@
 const START_MS: u64 = 1_000;
 /// Shortest pause between two checks for silent instances.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
-/// Time for which the store counts as reached after its last answer.
-const STORE_FRESH_MS: u64 = 3_000;
+/// Time for which the store counts as reached after its last answer: longer than a watch waits.
+const STORE_FRESH_MS: u64 = 12_500;
 
 /// The part of a process that knows the others.
 #[derive(Debug)]
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    control::store::{Changes, Entry, LeasedStore, LeasedWrite, Revision, StoreError},
+    control::store::{Changes, Entry, LeasedStore, LeasedWrite, StoreError},
     flow::routes::RouteTable,
     membership::instance::Instance,
     observe::counters::{Counters, Event},
@@ -180,12 +180,10 @@
         contact: &mut Contact,
         backoff: &mut Backoff,
     ) -> Result<(), StoreError> {
-        let entry = self.called(self.store.read(self.document.key())).await?;
+        let reading = self.called(self.store.read(self.document.key())).await?;
         contact.reached(&self.log);
-        backoff.reset();
-        let mut revision = Revision::ABSENT;
-        if let Some(entry) = entry {
-            revision = entry.revision;
+        let mut revision = reading.store_revision;
+        if let Some(entry) = reading.entry {
             self.take_routes(&entry).await;
         }
         loop {
@@ -201,6 +199,7 @@
                 Changes::HistoryLost => {
                     info!(self.log, "history of the store is lost; reading the routes again";
                         "revision" => revision.0);
+                    backoff.wait().await;
                     return Ok(());
                 }
                 Changes::Written {
