Let SYNs wait at the agent for a slot

Change: the agent admits a quarter more than the target's slots and lets the other SYNs wait: the more urgent class first, then those that can still be answered in time. Copies go to the agent that has the first. The service time comes from slot time and answers.

--- a/src/flow/packet.rs
+++ b/src/flow/packet.rs
@@ -124,7 +124,7 @@
 
 /// What the processes note in a packet for each other.
 ///
-/// A target that hands a packet back keeps every field but the service.
+/// A target that hands a packet back keeps only the first three fields.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Hop {
     /// Agents that were tried before.
@@ -135,12 +135,22 @@
     pub entry_tag: u16,
     /// Tag of the service that the flow was routed to; 0 if not said.
     pub service_tag: u16,
+    /// Urgency of the route's requests; 0 is the highest.
+    pub priority: u8,
+    /// Time in which an answer is wanted, rounded down to tens of milliseconds; 0 if not said.
+    pub target_latency_ms: u16,
 }
 
 /// A packet format on the wire.
 pub trait PacketFormat: Copy + Send + 'static {
     /// An encoded reset.
-    type Reset: AsRef<[u8]>;
+    type Reset: AsRef<[u8]> + std::fmt::Debug + Send;
+
+    /// Time after which a caller gives up an attempt to open a flow, in milliseconds.
+    const ATTEMPT_MS: u64;
+
+    /// Age of the attempt that a SYN belongs to, in milliseconds.
+    fn attempt_age_ms(&self, segment: &Segment) -> u64;
 
     /// Reads the header; `None` if the datagram is none of this format.
     fn decode(&self, datagram: &[u8]) -> Option<Segment>;
--- a/src/flow/routes.rs
+++ b/src/flow/routes.rs
@@ -6,6 +6,8 @@
 
 /// Idle time after which a flow is forgotten while no configuration says otherwise.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
+/// Wanted time of a route that names none: what a person hardly notices.
+const DEFAULT_TARGET_LATENCY_MS: u32 = 250;
 
 /// A service's share of a route.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -23,6 +25,26 @@
     pub address: SocketAddrV4,
     /// Services that share the new flows.
     pub backends: Vec<Backend>,
+    /// Urgency and wanted time of the requests.
+    pub class: Class,
+}
+
+/// What is wanted for the requests of a route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Class {
+    /// Time in which callers want an answer, in milliseconds.
+    pub target_latency_ms: u32,
+    /// Urgency; 0 is the highest.
+    pub priority: u8,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            target_latency_ms: DEFAULT_TARGET_LATENCY_MS,
+            priority: u8::MAX,
+        }
+    }
 }
 
 /// The routes of one version, sorted by address.
@@ -43,11 +65,12 @@
     /// Makes a table; version 0 stands for no configuration at all.
     ///
     /// ```
-    /// use bamboowind::flow::routes::{Backend, Route, RouteTable};
+    /// use bamboowind::flow::routes::{Backend, Class, Route, RouteTable};
     ///
     /// let address = "198.18.0.1:443".parse().unwrap();
     /// let backend = Backend { service: "catalogo".into(), weight: 1 };
-    /// let table = RouteTable::new(7, vec![Route { address, backends: vec![backend] }]);
+    /// let route = Route { address, backends: vec![backend], class: Class::default() };
+    /// let table = RouteTable::new(7, vec![route]);
     /// assert_eq!(&*table.service(address, 12).unwrap(), "catalogo");
     /// ```
     #[must_use]
@@ -92,6 +115,15 @@
         self.routes.is_empty()
     }
 
+    /// What is wanted for the requests to an address.
+    #[must_use]
+    pub fn class(&self, address: SocketAddrV4) -> Class {
+        let found = self
+            .routes
+            .binary_search_by_key(&address, |route| route.address);
+        found.map_or_else(|_| Class::default(), |index| self.routes[index].class)
+    }
+
     /// The services behind an address.
     #[must_use]
     pub fn backends(&self, address: SocketAddrV4) -> &[Backend] {
@@ -124,6 +156,8 @@
             ip: (*route.address.ip()).into(),
             port: route.address.port().into(),
             backends: route.backends.iter().map(backend_message).collect(),
+            target_latency_ms: route.class.target_latency_ms,
+            priority: route.class.priority.into(),
         };
         wire::RouteTable {
             version: self.version,
@@ -144,6 +178,10 @@
             Some(Route {
                 address: SocketAddrV4::new(route.ip.into(), port),
                 backends: route.backends.into_iter().map(backend).collect(),
+                class: Class {
+                    target_latency_ms: route.target_latency_ms,
+                    priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
+                },
             })
         };
         let routes = message.routes.into_iter().filter_map(route).collect();
--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -11,6 +11,7 @@
     decision::{Decision, Reason},
     notices::Notice,
     peering::Peering,
+    syn_queue::{Pace, SynQueue, WaitingSyn},
     target::{Change, Heartbeat, Target},
 };
 use crate::{
@@ -39,6 +40,9 @@
 const REGISTRATION_LIFE_MS: u64 = 60_000;
 /// Pause between two repetitions of all open flows to their keepers.
 const REPEAT_INTERVAL_MS: u64 = 10_000;
+/// Requests beyond the slots that are admitted, as a part of the slots: a handshake takes some
+/// seven milliseconds of forty.
+const OVERCOMMIT_PERCENT: u32 = 25;
 /// Part of the own cost at which another target is better by more than the hop is worth, percent.
 const PASS_ON_PERCENT: u64 = 80;
 
@@ -58,7 +62,7 @@
 
 /// The state of an agent.
 #[derive(Debug)]
-pub struct AgentCore<F> {
+pub struct AgentCore<F: PacketFormat> {
     /// The other instances.
     pub peering: Peering,
     /// The target beside the agent.
@@ -74,6 +78,8 @@
     told_flows_at_ms: u64,
     swept_at_ms: u64,
     lost: Vec<(FlowKey, AgentFlow)>,
+    waiting: SynQueue,
+    released: Vec<(Vec<u8>, AgentVerdict<F::Reset>)>,
 }
 
 impl<F: PacketFormat> AgentCore<F> {
@@ -100,6 +106,8 @@
             told_flows_at_ms: now_ms,
             swept_at_ms: now_ms,
             lost: Vec::new(),
+            waiting: SynQueue::new(),
+            released: Vec::new(),
         }
     }
 
@@ -138,6 +146,29 @@
         self.target.current().map_or(1, |beat| beat.capacity)
     }
 
+    /// Requests that the target has, and SYNs that wait for it.
+    fn busy(&self) -> u32 {
+        self.flows.running() + u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that the target may have at once, those included whose callers have yet to send
+    /// them: the slots would be idle during the handshake.
+    fn admitted(&self) -> u32 {
+        let capacity = self.capacity();
+        capacity + (capacity * OVERCOMMIT_PERCENT).div_ceil(100)
+    }
+
+    fn pace(&self, now_ms: u64) -> Pace {
+        let service_us = match self.flows.service_time_us(now_ms) {
+            0 => placement::DEFAULT_SERVICE_TIME_US,
+            known => u64::from(known),
+        };
+        Pace {
+            capacity: self.capacity(),
+            service_ms: service_us / 1_000,
+        }
+    }
+
     /// The target's load now.
     #[must_use]
     pub fn load(&self, now_ms: u64) -> TargetLoad {
@@ -145,7 +176,7 @@
             state: self.target.state(now_ms),
             service: self.service(),
             capacity: self.capacity(),
-            running: self.flows.running(),
+            running: self.busy(),
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
             service_time_us: self.flows.service_time_us(now_ms),
             cold_left_ms: u32::try_from(self.target.cold_left_ms(now_ms)).unwrap_or(u32::MAX),
@@ -162,7 +193,7 @@
         if segment.opens_flow() {
             return self.syn(datagram, &segment, hop, now_ms);
         }
-        match self.flows.caller(flow, &segment, self.capacity(), now_ms) {
+        match self.flows.caller(flow, &segment, now_ms) {
             CallerPacket::Known => {
                 self.tell_entry(flow, hop);
                 Ok(Destination::Target)
@@ -243,16 +274,106 @@
         if !is_ours || !self.target.takes_syn(now_ms) {
             return self.pass_on(datagram, segment, hop, false, now_ms);
         }
+        if self.waiting.contains(flow) {
+            return Err(Verdict::Drop);
+        }
         if hop.tried == 0
-            && self.flows.running() >= self.capacity()
+            && self.busy() >= self.capacity()
             && self.is_better_elsewhere(flow, now_ms)
         {
             return self.pass_on(datagram, segment, hop, false, now_ms);
         }
+        if !self.flows.contains(flow)
+            && (!self.waiting.is_empty() || self.flows.running() >= self.admitted())
+        {
+            return self.wait(datagram, segment, hop, now_ms);
+        }
+        self.admit(flow, hop, now_ms);
+        Ok(Destination::Target)
+    }
+
+    fn admit(&mut self, flow: FlowKey, hop: Hop, now_ms: u64) {
         self.flows.syn(flow, now_ms);
         self.target.syn_sent(now_ms);
         self.tell_entry(flow, hop);
-        Ok(Destination::Target)
+    }
+
+    /// Lets a SYN wait for a slot, or refuses it if none will be free in time.
+    fn wait(
+        &mut self,
+        datagram: &[u8],
+        segment: &Segment,
+        hop: Hop,
+        now_ms: u64,
+    ) -> AgentVerdict<F::Reset> {
+        let age_ms = self.format.attempt_age_ms(segment);
+        let syn = WaitingSyn {
+            flow: segment.caller_flow(),
+            datagram: datagram.to_vec(),
+            began_at_ms: now_ms.saturating_sub(age_ms),
+            ends_at_ms: now_ms + F::ATTEMPT_MS.saturating_sub(age_ms),
+            aim_ms: hop.target_latency_ms.into(),
+            priority: hop.priority,
+        };
+        match self.waiting.push(syn, now_ms, self.pace(now_ms)) {
+            Ok(()) => {
+                self.tell_entry(segment.caller_flow(), hop);
+                Err(Verdict::Drop)
+            }
+            Err(_) => Err(self.refuse(segment, segment.caller_flow())),
+        }
+    }
+
+    /// Gives waiting SYNs to the target while it has slots, or to another target that has.
+    pub fn release(&mut self, now_ms: u64) {
+        self.flows.expire_openings(now_ms);
+        while !self.waiting.is_empty() {
+            let is_free = self.target.takes_syn(now_ms)
+                && self.flows.running() < self.admitted();
+            if !is_free && !self.is_free_elsewhere(now_ms) {
+                return;
+            }
+            let pace = self.pace(now_ms);
+            let Some(mut syn) = self.waiting.take(now_ms, pace) else {
+                return;
+            };
+            let hop = self.format.read_hop(&syn.datagram);
+            let may_move = hop.tried + 1 < MAX_PLACEMENTS;
+            let verdict = match self.format.decode(&syn.datagram) {
+                _ if is_free => {
+                    self.admit(syn.flow, hop, now_ms);
+                    Ok(Destination::Target)
+                }
+                Some(segment) if may_move => {
+                    self.pass_on(&mut syn.datagram, &segment, hop, false, now_ms)
+                }
+                Some(_) => {
+                    self.waiting.put_back(syn);
+                    return;
+                }
+                None => Err(Verdict::Drop),
+            };
+            self.released.push((syn.datagram, verdict));
+        }
+    }
+
+    /// SYNs that have waited, with what happens to them now.
+    pub fn released(&mut self) -> Vec<(Vec<u8>, AgentVerdict<F::Reset>)> {
+        std::mem::take(&mut self.released)
+    }
+
+    /// Whether another target of the service has an unused slot.
+    fn is_free_elsewhere(&self, now_ms: u64) -> bool {
+        let Some(service) = self.service() else {
+            return false;
+        };
+        self.peering.directory.members().iter().any(|member| {
+            member.serves(&service)
+                && !self.peering.directory.is_own(member)
+                && member.load.state == TargetState::Ready
+                && member.is_alive(now_ms)
+                && member.load.running + member.placed_since_report < member.load.capacity
+        })
     }
 
     fn is_better_elsewhere(&self, flow: FlowKey, now_ms: u64) -> bool {
@@ -343,7 +464,7 @@
             flow,
             agent: name,
             is_returned,
-            running: self.flows.running(),
+            running: self.busy(),
         });
         Ok(Destination::Instance(address))
     }
@@ -379,7 +500,7 @@
         }
         let hop = self.format.read_hop(datagram);
         let flow = segment.caller_flow();
-        self.flows.remove(flow);
+        self.flows.remove(flow, now_ms);
         if segment.opens_flow() {
             return self.pass_on(datagram, &segment, hop, true, now_ms);
         }
@@ -440,6 +561,7 @@
         let (id, sequence) = (Arc::clone(&beat.id), beat.sequence);
         let before = self.target.state(now_ms);
         let change = self.target.heartbeat(beat, now_ms);
+        self.flows.set_capacity(self.capacity());
         if change == Change::Restarted {
             self.lose_flows();
         }
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -1,17 +1,22 @@
 //! Flows of the target beside an agent, and the work that they bring.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use crate::flow::packet::{FlowKey, Segment};
 
 /// Time after which a request without an answer no longer counts as under way.
 const REQUEST_TIMEOUT_MS: u64 = 5_000;
-/// Time after which a SYN without a further packet no longer counts as under way.
-const OPENING_TIMEOUT_MS: u64 = 1_400;
+/// Time after which a SYN whose caller has not answered no longer counts as under way: several
+/// trips to the caller and back. Its caller has given up or was served elsewhere.
+const OPENING_COUNTS_MS: u64 = 40;
+/// Time for which a flow is remembered whose caller has not answered.
+const OPENING_KEPT_MS: u64 = 1_400;
 /// Time for which a closed flow is remembered, for the last acknowledgements.
 const CLOSED_KEPT_MS: u64 = 2_000;
-/// Weight of the newest service time in the mean, as one part in so many.
-const MEAN_WEIGHT: u64 = 8;
+/// Answers after which a new mean of the service time is taken.
+const SAMPLE_LEN: u64 = 8;
+/// Weight of the newest sample in the mean, as one part in so many.
+const MEAN_WEIGHT: u64 = 3;
 /// Time after which a mean without new samples says nothing any more.
 const MEAN_LIFE_MS: u64 = 3_000;
 
@@ -31,8 +36,8 @@
 pub struct AgentFlow {
     stage: Stage,
     used_at_ms: u64,
+    /// When the request under way began, if there is one.
     request_at_ms: Option<u64>,
-    is_request_timed: bool,
     next_sequence: u32,
     caller_acknowledged: u32,
 }
@@ -45,6 +50,42 @@
     }
 }
 
+/// Mean time for which a request holds a slot, from slot time and answers, so that time in the
+/// target's own queue does not count.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceTime {
+    slot_ms: u64,
+    answers: u64,
+    accounted_at_ms: u64,
+    mean_us: u64,
+    sampled_at_ms: u64,
+}
+
+impl ServiceTime {
+    fn account(&mut self, requests: u32, capacity: u32, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.accounted_at_ms);
+        self.slot_ms += u64::from(requests.min(capacity)) * elapsed_ms;
+        self.accounted_at_ms = now_ms;
+    }
+
+    fn answered(&mut self, now_ms: u64) {
+        self.answers += 1;
+        if self.answers < SAMPLE_LEN {
+            return;
+        }
+        let sample_us = (self.slot_ms * 1_000 / self.answers).max(1);
+        let is_stale = now_ms.saturating_sub(self.sampled_at_ms) > MEAN_LIFE_MS;
+        self.mean_us = if is_stale || self.mean_us == 0 {
+            sample_us
+        } else {
+            (self.mean_us * (MEAN_WEIGHT - 1) + sample_us) / MEAN_WEIGHT
+        };
+        self.sampled_at_ms = now_ms;
+        self.slot_ms = 0;
+        self.answers = 0;
+    }
+}
+
 /// What a caller's packet means for its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallerPacket {
@@ -60,9 +101,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct AgentFlows {
     flows: HashMap<FlowKey, AgentFlow, ahash::RandomState>,
-    running: u32,
-    mean_us: u64,
-    sampled_at_ms: u64,
+    /// Flows whose callers have yet to answer, oldest first, with the time of the SYN.
+    openings: VecDeque<(FlowKey, u64)>,
+    requests: u32,
+    capacity: u32,
+    service_time: ServiceTime,
 }
 
 impl AgentFlows {
@@ -72,13 +115,18 @@
         Self::default()
     }
 
-    /// Requests under way, SYNs included.
+    /// Sets how many requests the target runs at once.
+    pub fn set_capacity(&mut self, capacity: u32) {
+        self.capacity = capacity;
+    }
+
+    /// Requests under way and SYNs whose callers are about to send theirs.
     #[must_use]
     pub fn running(&self) -> u32 {
-        self.running
+        self.requests + u32::try_from(self.openings.len()).unwrap_or(u32::MAX)
     }
 
-    /// Number of flows that are not closed.
+    /// Number of flows.
     #[must_use]
     pub fn len(&self) -> usize {
         self.flows.len()
@@ -99,10 +147,11 @@
     /// Mean service time in microseconds; 0 if there is none of late.
     #[must_use]
     pub fn service_time_us(&self, now_ms: u64) -> u32 {
-        if now_ms.saturating_sub(self.sampled_at_ms) > MEAN_LIFE_MS {
+        let age_ms = now_ms.saturating_sub(self.service_time.sampled_at_ms);
+        if age_ms > MEAN_LIFE_MS {
             return 0;
         }
-        u32::try_from(self.mean_us).unwrap_or(u32::MAX)
+        u32::try_from(self.service_time.mean_us).unwrap_or(u32::MAX)
     }
 
     /// Open flows.
@@ -113,27 +162,22 @@
 
     /// Notes a SYN that is handed to the target.
     pub fn syn(&mut self, flow: FlowKey, now_ms: u64) {
-        self.remove(flow);
+        if self.flows.contains_key(&flow) {
+            return;
+        }
         let entry = AgentFlow {
             stage: Stage::Opening,
             used_at_ms: now_ms,
-            request_at_ms: Some(now_ms),
-            is_request_timed: false,
+            request_at_ms: None,
             next_sequence: 0,
             caller_acknowledged: 0,
         };
         self.flows.insert(flow, entry);
-        self.running += 1;
+        self.openings.push_back((flow, now_ms));
     }
 
-    /// Notes another packet of the caller; `capacity` tells whether a request starts at once.
-    pub fn caller(
-        &mut self,
-        flow: FlowKey,
-        segment: &Segment,
-        capacity: u32,
-        now_ms: u64,
-    ) -> CallerPacket {
+    /// Notes another packet of the caller.
+    pub fn caller(&mut self, flow: FlowKey, segment: &Segment, now_ms: u64) -> CallerPacket {
         let Some(entry) = self.flows.get_mut(&flow) else {
             return CallerPacket::Unknown;
         };
@@ -143,23 +187,21 @@
         if was_opening {
             entry.stage = Stage::Open;
         }
-        let end = segment
-            .sequence
-            .wrapping_add(u32::from(segment.data_len));
+        let end = segment.sequence.wrapping_add(u32::from(segment.data_len));
         let is_new = was_opening || is_after(end, entry.next_sequence);
         if segment.data_len > 0 && is_new {
             entry.next_sequence = end;
             if entry.request_at_ms.is_none() {
                 entry.request_at_ms = Some(now_ms);
-                self.running += 1;
-                entry.is_request_timed = self.running <= capacity;
-            } else if !entry.is_request_timed && was_opening {
-                entry.request_at_ms = Some(now_ms);
-                entry.is_request_timed = self.running <= capacity;
+                self.service_time.account(self.requests, self.capacity, now_ms);
+                self.requests += 1;
             }
         }
+        if segment.data_len > 0 || segment.flags.rst {
+            self.forget_opening(flow);
+        }
         if segment.flags.rst {
-            self.remove(flow);
+            self.remove(flow, now_ms);
         }
         if was_opening {
             CallerPacket::Opened
@@ -178,81 +220,80 @@
             stage: Stage::Open,
             used_at_ms: now_ms,
             request_at_ms: None,
-            is_request_timed: false,
             next_sequence: segment.acknowledged,
             caller_acknowledged: segment.sequence,
         });
         entry.used_at_ms = now_ms;
-        if segment.data_len > 0
-            && let Some(since_ms) = entry.request_at_ms.take()
-        {
-            self.running = self.running.saturating_sub(1);
-            if entry.is_request_timed {
-                entry.is_request_timed = false;
-                let sample_us = now_ms.saturating_sub(since_ms).max(1) * 1_000;
-                self.mean_us = if self.mean_us == 0 {
-                    sample_us
-                } else {
-                    (self.mean_us * (MEAN_WEIGHT - 1) + sample_us) / MEAN_WEIGHT
-                };
-                self.sampled_at_ms = now_ms;
-            }
-        }
         if segment.flags.fin {
             entry.stage = Stage::Closed;
-            if entry.request_at_ms.take().is_some() {
-                self.running = self.running.saturating_sub(1);
-            }
+        }
+        let is_answer = segment.data_len > 0 || segment.flags.fin;
+        if is_answer && entry.request_at_ms.take().is_some() {
+            self.service_time.account(self.requests, self.capacity, now_ms);
+            self.service_time.answered(now_ms);
+            self.requests = self.requests.saturating_sub(1);
         }
         if segment.flags.rst {
-            self.remove(flow);
+            self.remove(flow, now_ms);
         }
         is_new
     }
 
+    fn forget_opening(&mut self, flow: FlowKey) {
+        if let Some(index) = self.openings.iter().position(|(other, _)| *other == flow) {
+            self.openings.remove(index);
+        }
+    }
+
     /// Forgets a flow.
-    pub fn remove(&mut self, flow: FlowKey) {
+    pub fn remove(&mut self, flow: FlowKey, now_ms: u64) {
+        self.forget_opening(flow);
         if let Some(entry) = self.flows.remove(&flow)
             && entry.request_at_ms.is_some()
         {
-            self.running = self.running.saturating_sub(1);
+            self.service_time.account(self.requests, self.capacity, now_ms);
+            self.requests = self.requests.saturating_sub(1);
         }
     }
 
     /// Forgets all flows and returns those that were open.
     pub fn clear(&mut self) -> Vec<(FlowKey, AgentFlow)> {
-        self.running = 0;
-        self.mean_us = 0;
+        self.requests = 0;
+        self.openings.clear();
+        self.service_time = ServiceTime::default();
         let flows = std::mem::take(&mut self.flows).into_iter();
         flows.filter(|(_, f)| f.stage == Stage::Open).collect()
     }
 
+    /// Counts no longer the SYNs whose callers do not answer.
+    pub fn expire_openings(&mut self, now_ms: u64) {
+        while let Some((_, since_ms)) = self.openings.front()
+            && now_ms.saturating_sub(*since_ms) > OPENING_COUNTS_MS
+        {
+            self.openings.pop_front();
+        }
+    }
+
     /// Forgets flows that were silent for long, and requests that will not be answered.
     pub fn sweep(&mut self, now_ms: u64, idle_timeout_ms: u64) {
-        let mut running = 0;
+        self.service_time.account(self.requests, self.capacity, now_ms);
+        let mut requests = 0;
         self.flows.retain(|_, entry| {
             let silent_ms = now_ms.saturating_sub(entry.used_at_ms);
-            if let Some(since_ms) = entry.request_at_ms {
-                let timeout_ms = match entry.stage {
-                    Stage::Opening => OPENING_TIMEOUT_MS,
-                    Stage::Open | Stage::Closed => REQUEST_TIMEOUT_MS,
-                };
-                if now_ms.saturating_sub(since_ms) > timeout_ms {
-                    entry.request_at_ms = None;
-                }
+            let is_over = |since_ms| now_ms.saturating_sub(since_ms) > REQUEST_TIMEOUT_MS;
+            if entry.request_at_ms.is_some_and(is_over) {
+                entry.request_at_ms = None;
             }
             let kept_ms = match entry.stage {
-                Stage::Opening => OPENING_TIMEOUT_MS,
+                Stage::Opening => OPENING_KEPT_MS,
                 Stage::Open => idle_timeout_ms,
                 Stage::Closed => CLOSED_KEPT_MS,
             };
             let is_kept = silent_ms < kept_ms;
-            if is_kept && entry.request_at_ms.is_some() {
-                running += 1;
-            }
+            requests += u32::from(is_kept && entry.request_at_ms.is_some());
             is_kept
         });
-        self.running = running;
+        self.requests = requests;
     }
 }
 
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -33,7 +33,7 @@
 
 /// An agent with its sockets.
 #[derive(Debug)]
-pub struct AgentNode<F, L> {
+pub struct AgentNode<F: PacketFormat, L> {
     core: AgentCore<F>,
     node: Node<L>,
     outbound: PacketSocket,
@@ -95,6 +95,7 @@
                 }
                 _ = ticks.tick() => self.tick(ends_at_ms == u64::MAX),
             }
+            self.release();
             self.send_resets();
             self.node.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
@@ -169,6 +170,13 @@
         }
     }
 
+    fn release(&mut self) {
+        self.core.release(self.clock.now_ms());
+        for (datagram, verdict) in self.core.released() {
+            self.carry_out(&datagram, verdict);
+        }
+    }
+
     fn at_caller(&self, mut caller: SocketAddrV4) -> SocketAddrV4 {
         caller.set_port(self.caller_port);
         caller
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -28,6 +28,9 @@
 /// Pause between two sweeps of the flow table.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
+/// Silence of an agent after which a copy of a SYN goes to another: a presence was lost.
+const COPY_TRUST_MS: u64 = 250;
+
 /// What happens to a packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict<R> {
@@ -102,24 +105,35 @@
             return self.place(datagram, &segment, flow, now_ms);
         }
         if let Some(owner) = self.flows.owner(flow, now_ms) {
-            self.note(datagram, Lookup::Known, 0, 0);
+            self.note(datagram, Lookup::Known);
             return Verdict::Send(owner);
         }
         self.look_up(datagram, flow, now_ms)
     }
 
-    fn note(&self, datagram: &mut [u8], lookup: Lookup, tried: u8, service_tag: u16) {
+    fn note(&self, datagram: &mut [u8], lookup: Lookup) {
         let hop = Hop {
-            tried,
             lookup,
             entry_tag: self.own_tag,
-            service_tag,
+            ..Hop::default()
         };
         self.format.write_hop(datagram, hop);
     }
 
-    /// Gives a new flow to an agent. A copy of a SYN is a sign of trouble at the agent that got
-    /// the one before, so it goes to another.
+    fn note_new(&self, datagram: &mut [u8], flow: FlowKey, service: &str) {
+        let class = self.routes.class(flow.service);
+        let hop = Hop {
+            entry_tag: self.own_tag,
+            service_tag: tag(service),
+            priority: class.priority,
+            target_latency_ms: u16::try_from(class.target_latency_ms).unwrap_or(u16::MAX),
+            ..Hop::default()
+        };
+        self.format.write_hop(datagram, hop);
+    }
+
+    /// Gives a new flow to an agent. A copy of a SYN goes to the agent that has the one before,
+    /// where it may wait for a slot, unless that agent has been silent since.
     fn place(
         &mut self,
         datagram: &mut [u8],
@@ -134,6 +148,14 @@
         let earlier = self.flows.owner(flow, now_ms);
         let directory = &self.peering.directory;
         let earlier = earlier.and_then(|owner| directory.by_packet_address(owner));
+        if let Some(earlier) = earlier
+            && earlier.is_alive(now_ms)
+            && earlier.load_age_ms(now_ms) <= COPY_TRUST_MS
+        {
+            let owner = earlier.instance.packet_address;
+            self.note_new(datagram, flow, &service);
+            return Verdict::Send(owner);
+        }
         let request = Request {
             service: &service,
             failure_domain: &self.peering.own().failure_domain,
@@ -164,7 +186,7 @@
         self.peering.decisions.push(decision);
         self.peering.directory.count_placed(&name);
         self.flows.insert(flow, owner, now_ms);
-        self.note(datagram, Lookup::Known, 0, tag(&service));
+        self.note_new(datagram, flow, &service);
         Verdict::Send(owner)
     }
 
@@ -221,7 +243,7 @@
         self.peering
             .decisions
             .push(Decision::LookedUp { flow, agent, tried });
-        self.note(datagram, Lookup::Registry, tried, 0);
+        self.note(datagram, Lookup::Registry);
         Verdict::Send(address)
     }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -16,4 +16,5 @@
 pub mod route_fetch;
 pub mod settings;
 pub mod socket;
+pub mod syn_queue;
 pub mod target;
--- /dev/null
+++ b/src/forward/syn_queue.rs
@@ -0,0 +1,125 @@
+//! SYNs that wait at an agent for a free slot of its target.
+//!
+//! Answers the load right after an outage: callers bring at once what they could not bring before,
+//! targets are slow after their start, and a target's own queue works in order of arrival, so that
+//! everyone is late. Here the more urgent class goes first; within a class the SYNs that can still
+//! be answered in time do, and the late ones get the slots that are left. One that cannot be served
+//! before its caller gives the attempt up is refused at once.
+
+use crate::flow::packet::FlowKey;
+
+/// SYNs that wait at most; more cannot be served before their attempts end.
+const MAX_WAITING: usize = 512;
+/// Time between a SYN and its request at the target: two trips to the caller and back.
+const HANDSHAKE_MS: u64 = 8;
+
+/// A SYN that waits.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingSyn {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The packet.
+    pub datagram: Vec<u8>,
+    /// When the caller began this attempt, on the clock of the process.
+    pub began_at_ms: u64,
+    /// When the caller gives this attempt up.
+    pub ends_at_ms: u64,
+    /// Time from the beginning in which the answer is wanted.
+    pub aim_ms: u64,
+    /// Urgency of the class; 0 is the highest.
+    pub priority: u8,
+}
+
+impl WaitingSyn {
+    fn due_at_ms(&self) -> u64 {
+        self.began_at_ms + self.aim_ms
+    }
+
+    fn is_in_time(&self, now_ms: u64, service_ms: u64) -> bool {
+        now_ms + HANDSHAKE_MS + service_ms <= self.due_at_ms()
+    }
+}
+
+/// How fast the target works.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Requests that it runs at once.
+    pub capacity: u32,
+    /// Time for one request, in milliseconds.
+    pub service_ms: u64,
+}
+
+/// The SYNs that wait.
+#[derive(Clone, Debug, Default)]
+pub struct SynQueue {
+    waiting: Vec<WaitingSyn>,
+}
+
+impl SynQueue {
+    /// Makes an empty queue.
+    ///
+    /// ```
+    /// use bamboowind::forward::syn_queue::{Pace, SynQueue};
+    ///
+    /// let mut queue = SynQueue::new();
+    /// assert_eq!(queue.take(0, Pace { capacity: 2, service_ms: 10 }), None);
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of SYNs that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Whether a flow's SYN waits.
+    #[must_use]
+    pub fn contains(&self, flow: FlowKey) -> bool {
+        self.waiting.iter().any(|syn| syn.flow == flow)
+    }
+
+    /// Adds a SYN. Gives it back if it cannot be served before its attempt ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the SYN that is to be refused.
+    pub fn push(&mut self, syn: WaitingSyn, now_ms: u64, pace: Pace) -> Result<(), WaitingSyn> {
+        let ahead = self.waiting.len() as u64 + 1;
+        let wait_ms = ahead * pace.service_ms / u64::from(pace.capacity.max(1));
+        if self.waiting.len() >= MAX_WAITING || now_ms + wait_ms > syn.ends_at_ms {
+            return Err(syn);
+        }
+        self.waiting.push(syn);
+        Ok(())
+    }
+
+    /// Puts a SYN back that was taken and could not be served.
+    pub fn put_back(&mut self, syn: WaitingSyn) {
+        self.waiting.push(syn);
+    }
+
+    /// Takes the SYN that is to be served next.
+    pub fn take(&mut self, now_ms: u64, pace: Pace) -> Option<WaitingSyn> {
+        self.waiting
+            .retain(|syn| now_ms + HANDSHAKE_MS < syn.ends_at_ms);
+        let rank = |syn: &WaitingSyn| {
+            if syn.is_in_time(now_ms, pace.service_ms) {
+                (syn.priority, 0, syn.due_at_ms())
+            } else {
+                (syn.priority, 1, syn.ends_at_ms)
+            }
+        };
+        let indexed = self.waiting.iter().enumerate();
+        let (index, _) = indexed.min_by_key(|(_, syn)| rank(syn))?;
+        Some(self.waiting.swap_remove(index))
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -12,7 +12,7 @@
 };
 
 /// Service time assumed while no target of the service has reported one, in microseconds.
-const DEFAULT_SERVICE_TIME_US: u64 = 20_000;
+pub const DEFAULT_SERVICE_TIME_US: u64 = 20_000;
 /// Slow-down of a target that has just started, in percent: the platform's targets start at 1.6
 /// times their usual service time.
 const COLD_SLOWDOWN_PERCENT: u64 = 160;
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -156,6 +156,12 @@
     /// Services that share the new flows.
     #[prost(message, repeated, tag = "3")]
     pub backends: ::prost::alloc::vec::Vec<Backend>,
+    /// Time in which callers want an answer, in milliseconds; 0 if not said.
+    #[prost(uint32, tag = "4")]
+    pub target_latency_ms: u32,
+    /// Urgency; 0 is the highest.
+    #[prost(uint32, tag = "5")]
+    pub priority: u32,
 }
 /// A service's share of a route.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
