Reset callers of flows that every agent of the service denies

Change: the search goes by descending weight instead of rank, so that processes that know different members skip nobody both know; when all agents of the service have denied a packet with data, and none that may come back is silent, the caller is reset.

--- a/src/flow/packet.rs
+++ b/src/flow/packet.rs
@@ -124,13 +124,15 @@
 
 /// What the processes note in a packet for each other.
 ///
-/// A target that hands a packet back keeps only the first three fields.
+/// A target that hands a packet back keeps only the first four fields.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Hop {
     /// Agents that were tried before.
     pub tried: u8,
     /// How the agent came to be asked.
     pub lookup: Lookup,
+    /// Whether an agent that may hold the flow could not be asked.
+    pub is_incomplete: bool,
     /// Tag of the balancer that took the packet from the fabric; 0 for none.
     pub entry_tag: u16,
     /// Tag of the service that the flow was routed to; 0 if not said.
--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -70,6 +70,7 @@
     format: F,
     flows: AgentFlows,
     owners: FlowTable,
+    knows_members: bool,
     route_version: u64,
     idle_timeout_ms: u64,
     told_load: TargetLoad,
@@ -98,6 +99,7 @@
             format,
             flows: AgentFlows::new(),
             owners: FlowTable::new(),
+            knows_members: false,
             route_version: 0,
             idle_timeout_ms: REGISTRATION_LIFE_MS,
             told_load: TargetLoad::default(),
@@ -504,42 +506,52 @@
         if segment.opens_flow() {
             return self.pass_on(datagram, &segment, hop, true, now_ms);
         }
-        self.walk(datagram, flow, hop, now_ms)
+        self.walk(datagram, &segment, hop, now_ms)
     }
 
     /// Offers a packet that the own target has handed back to the next agent in the flow's order.
+    ///
+    /// When every agent of the service has been asked, the flow has died with an earlier start of
+    /// its target, and a caller that waits for an answer is told by a reset.
     fn walk(
         &mut self,
         datagram: &mut [u8],
-        flow: FlowKey,
+        segment: &Segment,
         hop: Hop,
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
+        let flow = segment.caller_flow();
         let hash = flow_hash(flow);
-        let own = self.peering.own().packet_address;
         let service = self.service();
-        // A balancer's cache was wrong: the keepers are asked before the others are tried.
-        let (mut tried, lookup) = match hop.lookup {
-            Lookup::Known => (0, Lookup::Registry),
-            Lookup::Registry | Lookup::Walk => (hop.tried, Lookup::Walk),
-            Lookup::Registered => (0, Lookup::Walk),
+        let directory = &self.peering.directory;
+        // A balancer's cache or a keeper was wrong: the search begins at the head of the order.
+        let (below, lookup) = match hop.lookup {
+            Lookup::Known => (u64::MAX, Lookup::Registry),
+            Lookup::Registered => (u64::MAX, Lookup::Walk),
+            Lookup::Registry | Lookup::Walk => (directory.own_weight(hash), Lookup::Walk),
         };
-        while tried < MAX_WALK {
-            let directory = &self.peering.directory;
-            let rank = usize::from(tried);
-            let next = service
-                .as_deref()
-                .and_then(|name| directory.in_flow_order(hash, name, rank, now_ms));
-            let Some(next) = next else { break };
-            tried += 1;
-            let address = next.instance.packet_address;
-            if address == own {
-                continue;
+        let next = service.as_deref().and_then(|name| {
+            let first = directory.next_in_flow_order(hash, name, below, now_ms)?;
+            if directory.is_own(first.member) {
+                directory.next_in_flow_order(hash, name, first.weight, now_ms)
+            } else {
+                Some(first)
             }
-            let agent = Arc::clone(&next.instance.name);
+        });
+        let hears_all = service
+            .as_deref()
+            .is_some_and(|name| directory.hears_all_agents(name, now_ms));
+        let is_incomplete = hop.is_incomplete || !hears_all || !self.knows_members;
+        let tried = hop.tried.saturating_add(1);
+        if let Some(next) = next
+            && tried <= MAX_WALK
+        {
+            let address = next.member.instance.packet_address;
+            let agent = Arc::clone(&next.member.instance.name);
             let hop = Hop {
                 tried,
                 lookup,
+                is_incomplete,
                 service_tag: 0,
                 ..hop
             };
@@ -550,12 +562,27 @@
             return Ok(Destination::Instance(address));
         }
         let reason = Reason::FlowNotFound;
+        let is_waiting = segment.data_len > 0 && !segment.flags.rst;
+        if next.is_none() && is_waiting && !is_incomplete {
+            self.peering.decisions.push(Decision::Refused {
+                flow,
+                reason,
+                route_version: self.route_version,
+            });
+            let reset = self.format.reset(flow, segment.acknowledged);
+            return Err(Verdict::Reset(flow.caller, reset));
+        }
         self.peering
             .decisions
             .push(Decision::Dropped { flow, reason });
         Err(Verdict::Drop)
     }
 
+    /// Notes that the store has told of all instances.
+    pub fn members_read(&mut self) {
+        self.knows_members = true;
+    }
+
     /// Takes a heartbeat of the target. Returns whether it was taken.
     pub fn heartbeat(&mut self, beat: Heartbeat, now_ms: u64) -> bool {
         let (id, sequence) = (Arc::clone(&beat.id), beat.sequence);
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -203,6 +203,7 @@
         match learned {
             Learned::Reached => self.core.peering.store_reached(now_ms),
             Learned::Instances(instances) => {
+                self.core.members_read();
                 let version = self.core.route_version();
                 for instance in instances {
                     let load = Some(self.core.load(now_ms));
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -11,6 +11,10 @@
 pub const SUSPECT_AFTER_MS: u64 = 700;
 /// Silence after which an instance is forgotten; longer than a freeze or a cut is likely to last.
 const FORGET_AFTER_MS: u64 = 30_000;
+/// Silence after which an agent that was heard is not expected back with its flows.
+const RETURN_WITHIN_MS: u64 = 15_000;
+/// Time in which an instance that the store names is heard, if it lives.
+const APPEAR_WITHIN_MS: u64 = 3_000;
 /// Time for which an instance that is known by hearsay only counts as alive.
 const HEARSAY_TRUST_MS: u64 = 1_500;
 
@@ -89,6 +93,15 @@
     Target(TargetState),
 }
 
+/// An agent in a flow's order.
+#[derive(Clone, Copy, Debug)]
+pub struct FlowOrderStep<'a> {
+    /// Its weight for the flow.
+    pub weight: u64,
+    /// The agent.
+    pub member: &'a Member,
+}
+
 /// Instances sorted by name.
 #[derive(Clone, Debug)]
 pub struct Directory {
@@ -285,17 +298,62 @@
         rank: usize,
         now_ms: u64,
     ) -> Option<&Member> {
-        let mut bound = u64::MAX;
+        let mut below = u64::MAX;
         let mut found = None;
         for _ in 0..=rank {
-            let agents = self.members.iter();
-            found = agents
-                .filter(|member| member.serves(service) && member.is_alive(now_ms))
-                .map(|member| (weight(flow_hash, member.name_hash), member))
-                .filter(|(weight, _)| *weight < bound)
-                .max_by_key(|(weight, _)| *weight);
-            bound = found?.0;
+            let step = self.next_in_flow_order(flow_hash, service, below, now_ms)?;
+            below = step.weight;
+            found = Some(step.member);
         }
-        found.map(|(_, member)| member)
+        found
+    }
+
+    /// The live agent of a service that comes next in a flow's order after the weight `below`.
+    ///
+    /// The order goes by weights and not by ranks, so that two processes that know different
+    /// members skip only those that one of them does not know.
+    #[must_use]
+    pub fn next_in_flow_order(
+        &self,
+        flow_hash: u64,
+        service: &str,
+        below: u64,
+        now_ms: u64,
+    ) -> Option<FlowOrderStep<'_>> {
+        let serving = self.members.iter().filter(|member| member.serves(service));
+        serving
+            .filter(|member| member.is_alive(now_ms))
+            .map(|member| FlowOrderStep {
+                weight: weight(flow_hash, member.name_hash),
+                member,
+            })
+            .filter(|step| step.weight < below)
+            .max_by_key(|step| step.weight)
+    }
+
+    /// Weight of this instance in a flow's order.
+    #[must_use]
+    pub fn own_weight(&self, flow_hash: u64) -> u64 {
+        weight(flow_hash, name_hash(&self.own_name))
+    }
+
+    /// Whether every agent that may hold flows of `service` is heard now.
+    ///
+    /// An agent that is silent may come back with its target's flows.
+    #[must_use]
+    pub fn hears_all_agents(&self, service: &str, now_ms: u64) -> bool {
+        self.members.iter().all(|member| {
+            let silent_ms = now_ms.saturating_sub(member.heard_at_ms);
+            let is_agent = member.instance.role == InstanceRole::Agent;
+            let may_serve = member.load.service.is_none() || member.serves(service);
+            if !is_agent || !may_serve || member.is_leaving {
+                return true;
+            }
+            if member.is_confirmed {
+                member.is_alive(now_ms) || silent_ms > RETURN_WITHIN_MS
+            } else {
+                silent_ms > APPEAR_WITHIN_MS
+            }
+        })
     }
 }
