Serve the newest of the late SYNs first, and log waiting, admission and its end

Cause: among the SYNs that can no longer be answered in time, the one whose attempt ends first was served first, often when its caller's deadline had passed. Change: the newest of them first; decisions to wait, to admit after waiting and to give up are logged.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -312,23 +312,43 @@
         let syn = WaitingSyn {
             flow: segment.caller_flow(),
             datagram: datagram.to_vec(),
+            arrived_at_ms: now_ms,
             began_at_ms: now_ms.saturating_sub(age_ms),
             ends_at_ms: now_ms + F::ATTEMPT_MS.saturating_sub(age_ms),
             aim_ms: hop.target_latency_ms.into(),
             priority: hop.priority,
         };
-        match self.waiting.push(syn, now_ms, self.pace(now_ms)) {
+        let pace = self.pace(now_ms);
+        match self.waiting.push(syn, now_ms, pace) {
             Ok(()) => {
+                self.peering.decisions.push(Decision::Waits {
+                    flow: segment.caller_flow(),
+                    running: self.flows.running(),
+                    waiting: self.waiting.len(),
+                });
                 self.tell_entry(segment.caller_flow(), hop);
                 Err(Verdict::Drop)
             }
-            Err(_) => Err(self.refuse(segment, segment.caller_flow())),
+            Err(_) => {
+                let reason = Reason::NoSlotInTime {
+                    waiting: self.waiting.len(),
+                    service_ms: pace.service_ms,
+                };
+                Err(self.refuse(segment, segment.caller_flow(), reason))
+            }
         }
     }
 
     /// Gives waiting SYNs to the target while it has slots, or to another target that has.
     pub fn release(&mut self, now_ms: u64) {
         self.flows.expire_openings(now_ms);
+        let reason = Reason::AttemptEnded;
+        let expired = self.waiting.expired(now_ms);
+        let ended = expired.map(|syn| Decision::Dropped {
+            flow: syn.flow,
+            reason,
+        });
+        self.peering.decisions.extend(ended);
         while !self.waiting.is_empty() {
             let is_free = self.target.takes_syn(now_ms)
                 && self.flows.running() < self.admitted();
@@ -343,6 +363,11 @@
             let may_move = hop.tried + 1 < MAX_PLACEMENTS;
             let verdict = match self.format.decode(&syn.datagram) {
                 _ if is_free => {
+                    self.peering.decisions.push(Decision::Admitted {
+                        flow: syn.flow,
+                        waited_ms: now_ms.saturating_sub(syn.arrived_at_ms),
+                        running: self.flows.running(),
+                    });
                     self.admit(syn.flow, hop, now_ms);
                     Ok(Destination::Target)
                 }
@@ -451,7 +476,7 @@
             .filter(|_| hop.tried + 1 < MAX_PLACEMENTS)
             .and_then(|service| self.other_target(service, flow, now_ms));
         let Some(other) = other else {
-            return Err(self.refuse(segment, flow));
+            return Err(self.refuse(segment, flow, Reason::AllTargetsRefused));
         };
         let address = other.instance.packet_address;
         let name = Arc::clone(&other.instance.name);
@@ -471,8 +496,12 @@
         Ok(Destination::Instance(address))
     }
 
-    fn refuse(&mut self, segment: &Segment, flow: FlowKey) -> Verdict<F::Reset> {
-        let reason = Reason::AllTargetsRefused;
+    fn refuse(
+        &mut self,
+        segment: &Segment,
+        flow: FlowKey,
+        reason: Reason,
+    ) -> Verdict<F::Reset> {
         if !segment.is_first_syn() {
             self.peering
                 .decisions
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -31,6 +31,15 @@
     AllTargetsRefused,
     /// No agent that was asked holds the flow.
     FlowNotFound,
+    /// No slot will be free before the caller gives the attempt up.
+    NoSlotInTime {
+        /// SYNs that wait.
+        waiting: usize,
+        /// Time for one request, in milliseconds.
+        service_ms: u64,
+    },
+    /// The caller has given the attempt up while its SYN waited.
+    AttemptEnded,
 }
 
 impl Reason {
@@ -41,6 +50,8 @@
             Self::NoTarget => "no_target",
             Self::AllTargetsRefused => "all_targets_refused",
             Self::FlowNotFound => "flow_not_found",
+            Self::AttemptEnded => "attempt_ended",
+            Self::NoSlotInTime { .. } => "no_slot_in_time",
         }
     }
 }
@@ -74,6 +85,24 @@
         /// Requests under way at the own target.
         running: u32,
     },
+    /// A SYN waits for a slot of the own target.
+    Waits {
+        /// The flow.
+        flow: FlowKey,
+        /// Requests under way at the own target.
+        running: u32,
+        /// SYNs that wait, this one included.
+        waiting: usize,
+    },
+    /// A SYN that has waited was given to the own target.
+    Admitted {
+        /// The flow.
+        flow: FlowKey,
+        /// How long it has waited.
+        waited_ms: u64,
+        /// Requests under way at the own target.
+        running: u32,
+    },
     /// A SYN was answered with a reset.
     Refused {
         /// The flow.
@@ -196,6 +225,8 @@
     match decision {
         Decision::Placed { .. } => Event::FlowPlaced,
         Decision::PassedOn { .. } => Event::FlowPassedOn,
+        Decision::Waits { .. } => Event::FlowWaits,
+        Decision::Admitted { .. } => Event::FlowAdmitted,
         Decision::Refused { .. } => Event::FlowRefused,
         Decision::Dropped { .. } => Event::DroppedUnroutable,
         Decision::LookedUp { .. } => Event::FlowLookedUp,
@@ -226,12 +257,24 @@
             running,
         } => info!(log, "flow passed on"; "flow" => %flow, "agent" => &*agent,
             "is_returned" => is_returned, "running" => running, "left_out" => left_out),
+        Decision::Waits {
+            flow,
+            running,
+            waiting,
+        } => info!(log, "flow waits"; "flow" => %flow, "running" => running,
+            "waiting" => waiting, "left_out" => left_out),
+        Decision::Admitted {
+            flow,
+            waited_ms,
+            running,
+        } => info!(log, "flow admitted"; "flow" => %flow, "waited_ms" => waited_ms,
+            "running" => running, "left_out" => left_out),
         Decision::Refused {
             flow,
             reason,
             route_version,
         } => warn!(log, "flow refused"; "flow" => %flow, "reason" => reason.name(),
-            "route_version" => route_version, "left_out" => left_out),
+            "why" => ?reason, "route_version" => route_version, "left_out" => left_out),
         Decision::Dropped { flow, reason } => warn!(log, "packet dropped"; "flow" => %flow,
             "reason" => reason.name(), "left_out" => left_out),
         Decision::LookedUp { flow, agent, tried } => info!(log, "flow looked up";
--- a/src/forward/syn_queue.rs
+++ b/src/forward/syn_queue.rs
@@ -20,7 +20,9 @@
     pub flow: FlowKey,
     /// The packet.
     pub datagram: Vec<u8>,
-    /// When the caller began this attempt, on the clock of the process.
+    /// When it began to wait, on the clock of the process.
+    pub arrived_at_ms: u64,
+    /// When the caller began this attempt.
     pub began_at_ms: u64,
     /// When the caller gives this attempt up.
     pub ends_at_ms: u64,
@@ -107,15 +109,19 @@
         self.waiting.push(syn);
     }
 
+    /// Takes out the SYNs whose attempts end before they can be served.
+    pub fn expired(&mut self, now_ms: u64) -> impl Iterator<Item = WaitingSyn> + '_ {
+        self.waiting
+            .extract_if(.., move |syn| now_ms + HANDSHAKE_MS >= syn.ends_at_ms)
+    }
+
     /// Takes the SYN that is to be served next.
     pub fn take(&mut self, now_ms: u64, pace: Pace) -> Option<WaitingSyn> {
-        self.waiting
-            .retain(|syn| now_ms + HANDSHAKE_MS < syn.ends_at_ms);
         let rank = |syn: &WaitingSyn| {
             if syn.is_in_time(now_ms, pace.service_ms) {
                 (syn.priority, 0, syn.due_at_ms())
             } else {
-                (syn.priority, 1, syn.ends_at_ms)
+                (syn.priority, 1, u64::MAX - syn.began_at_ms)
             }
         };
         let indexed = self.waiting.iter().enumerate();
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -39,6 +39,10 @@
     FlowRefused => "flow_refused",
     /// A new flow was given to an agent.
     FlowPlaced => "flow_placed",
+    /// A SYN waits for a slot.
+    FlowWaits => "flow_waits",
+    /// A SYN that has waited was given to the target.
+    FlowAdmitted => "flow_admitted",
     /// An agent passed a SYN on to another agent.
     FlowPassedOn => "flow_passed_on",
     /// A packet of an unknown flow was sent to an agent that may know it.
