--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -26,6 +26,8 @@
     placement::{self, Candidate, Request},
 };
 
+/// Time after the start in which others are still being learned of.
+const LEARNING_MS: u64 = 500;
 /// Agents that a SYN is offered to at most.
 const MAX_PLACEMENTS: u8 = 3;
 /// Agents that a packet of an unknown flow is offered to at most.
@@ -740,6 +742,16 @@
         }
     }
 
+    /// Whether packets are better decided on than left in the socket's buffer: an agent that has
+    /// just started learns the others within some tens of milliseconds.
+    #[must_use]
+    pub fn takes_packets(&self, now_ms: u64) -> bool {
+        let members = self.peering.directory.members().iter();
+        let mut agents = members.filter(|m| m.instance.role == InstanceRole::Agent);
+        agents.any(|m| m.is_alive(now_ms) && !self.peering.directory.is_own(m))
+            || self.peering.uptime_ms(now_ms) >= LEARNING_MS
+    }
+
     /// Whether balancers are known, so that the target can be reached.
     #[must_use]
     pub fn is_ready(&self, now_ms: u64) -> bool {
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -82,9 +82,10 @@
         let mut ticks = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut ends_at_ms = u64::MAX;
+        let mut takes_packets = false;
         while self.clock.now_ms() < ends_at_ms {
             tokio::select! {
-                _ = self.node.packets.readable() => self.read_inner(&mut buffer),
+                _ = self.node.packets.readable(), if takes_packets => self.read_inner(&mut buffer),
                 _ = self.outbound.readable() => self.read_target(&mut buffer),
                 _ = self.node.control.readable() => self.read_notices(&mut buffer),
                 Some(learned) = self.node.learned.recv() => self.learn(learned),
@@ -99,6 +100,7 @@
             self.send_resets();
             self.node.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
+            takes_packets = takes_packets || self.core.takes_packets(now_ms);
             self.decisions
                 .record(&mut self.core.peering.decisions, now_ms);
         }
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -17,7 +17,7 @@
         table::FlowTable,
     },
     membership::{
-        instance::Instance,
+        instance::{Instance, TargetState},
         rendezvous::{flow_hash, tag},
     },
     placement::{self, Request},
@@ -282,6 +282,17 @@
         }
     }
 
+    /// Whether packets are better decided on than left in the socket's buffer: a balancer that
+    /// has just started learns the routes and the targets within some tens of milliseconds.
+    #[must_use]
+    pub fn takes_packets(&self, now_ms: u64) -> bool {
+        let members = self.peering.directory.members().iter();
+        let mut ready = members.filter(|m| m.load.state == TargetState::Ready);
+        let knows_target = ready.any(|member| member.is_alive(now_ms));
+        self.routes.version() > 0 && knows_target
+            || self.peering.uptime_ms(now_ms) >= LEARNING_MS
+    }
+
     /// Whether packets can be forwarded.
     #[must_use]
     pub fn is_ready(&self, now_ms: u64) -> bool {
--- a/src/forward/balancer_run.rs
+++ b/src/forward/balancer_run.rs
@@ -64,9 +64,10 @@
         let mut ticks = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut ends_at_ms = u64::MAX;
+        let mut takes_packets = false;
         while self.clock.now_ms() < ends_at_ms {
             tokio::select! {
-                _ = self.node.packets.readable() => self.forward(&mut buffer),
+                _ = self.node.packets.readable(), if takes_packets => self.forward(&mut buffer),
                 _ = self.node.control.readable() => self.read_notices(&mut buffer),
                 Some(learned) = self.node.learned.recv() => self.learn(learned),
                 Some(command) = self.node.commands.recv() => {
@@ -79,6 +80,7 @@
             }
             self.node.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
+            takes_packets = takes_packets || self.core.takes_packets(now_ms);
             self.decisions
                 .record(&mut self.core.peering.decisions, now_ms);
         }
