--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -141,9 +141,7 @@
     }
 
     fn service(&self) -> Option<Arc<str>> {
-        self.target
-            .current()
-            .map(|beat| Arc::clone(&beat.service))
+        self.target.current().map(|beat| Arc::clone(&beat.service))
     }
 
     fn capacity(&self) -> u32 {
@@ -274,7 +272,9 @@
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
         let service = self.service();
-        let is_ours = service.as_deref().is_some_and(|name| tag(name) == hop.service_tag);
+        let is_ours = service
+            .as_deref()
+            .is_some_and(|name| tag(name) == hop.service_tag);
         if !is_ours || !self.target.takes_syn(now_ms) {
             return self.pass_on(datagram, segment, hop, false, now_ms);
         }
@@ -352,8 +352,7 @@
         });
         self.peering.decisions.extend(ended);
         while !self.waiting.is_empty() {
-            let is_free = self.target.takes_syn(now_ms)
-                && self.flows.running() < self.admitted();
+            let is_free = self.target.takes_syn(now_ms) && self.flows.running() < self.admitted();
             if !is_free && !self.is_free_elsewhere(now_ms) {
                 return;
             }
@@ -454,7 +453,11 @@
     /// Service that a SYN was routed to.
     fn routed_service(&self, hop: Hop) -> Option<Arc<str>> {
         let own = self.service();
-        if hop.service_tag == 0 || own.as_deref().is_some_and(|name| tag(name) == hop.service_tag) {
+        if hop.service_tag == 0
+            || own
+                .as_deref()
+                .is_some_and(|name| tag(name) == hop.service_tag)
+        {
             return own;
         }
         let members = self.peering.directory.members().iter();
@@ -498,12 +501,7 @@
         Ok(Destination::Instance(address))
     }
 
-    fn refuse(
-        &mut self,
-        segment: &Segment,
-        flow: FlowKey,
-        reason: Reason,
-    ) -> Verdict<F::Reset> {
+    fn refuse(&mut self, segment: &Segment, flow: FlowKey, reason: Reason) -> Verdict<F::Reset> {
         if !segment.is_first_syn() {
             self.peering
                 .decisions
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -193,7 +193,8 @@
             entry.next_sequence = end;
             if entry.request_at_ms.is_none() {
                 entry.request_at_ms = Some(now_ms);
-                self.service_time.account(self.requests, self.capacity, now_ms);
+                self.service_time
+                    .account(self.requests, self.capacity, now_ms);
                 self.requests += 1;
             }
         }
@@ -229,7 +230,8 @@
         }
         let is_answer = segment.data_len > 0 || segment.flags.fin;
         if is_answer && entry.request_at_ms.take().is_some() {
-            self.service_time.account(self.requests, self.capacity, now_ms);
+            self.service_time
+                .account(self.requests, self.capacity, now_ms);
             self.service_time.answered(now_ms);
             self.requests = self.requests.saturating_sub(1);
         }
@@ -251,7 +253,8 @@
         if let Some(entry) = self.flows.remove(&flow)
             && entry.request_at_ms.is_some()
         {
-            self.service_time.account(self.requests, self.capacity, now_ms);
+            self.service_time
+                .account(self.requests, self.capacity, now_ms);
             self.requests = self.requests.saturating_sub(1);
         }
     }
@@ -276,7 +279,8 @@
 
     /// Forgets flows that were silent for long, and requests that will not be answered.
     pub fn sweep(&mut self, now_ms: u64, idle_timeout_ms: u64) {
-        self.service_time.account(self.requests, self.capacity, now_ms);
+        self.service_time
+            .account(self.requests, self.capacity, now_ms);
         let mut requests = 0;
         self.flows.retain(|_, entry| {
             let silent_ms = now_ms.saturating_sub(entry.used_at_ms);
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -16,11 +16,8 @@
     target::Target,
 };
 use crate::{
-    clock::Clock,
-    control::store::LeasedStore,
-    flow::packet::PacketFormat,
-    membership::instance::Instance,
-    observe::counters::Event,
+    clock::Clock, control::store::LeasedStore, flow::packet::PacketFormat,
+    membership::instance::Instance, observe::counters::Event,
 };
 
 const TICK_INTERVAL_MS: u64 = 20;
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -219,17 +219,11 @@
     }
 
     /// Sends a packet of an unknown flow to the agent that should know its owner.
-    fn look_up(
-        &mut self,
-        datagram: &mut [u8],
-        flow: FlowKey,
-        now_ms: u64,
-    ) -> Verdict<F::Reset> {
+    fn look_up(&mut self, datagram: &mut [u8], flow: FlowKey, now_ms: u64) -> Verdict<F::Reset> {
         let hash = flow_hash(flow);
         let directory = &self.peering.directory;
         let service = self.routes.service(flow.service, hash);
-        let keeper =
-            service.and_then(|service| directory.in_flow_order(hash, &service, 0, now_ms));
+        let keeper = service.and_then(|service| directory.in_flow_order(hash, &service, 0, now_ms));
         let Some(keeper) = keeper else {
             let reason = Reason::FlowNotFound;
             self.peering
@@ -289,8 +283,7 @@
         let members = self.peering.directory.members().iter();
         let mut ready = members.filter(|m| m.load.state == TargetState::Ready);
         let knows_target = ready.any(|member| member.is_alive(now_ms));
-        self.routes.version() > 0 && knows_target
-            || self.peering.uptime_ms(now_ms) >= LEARNING_MS
+        self.routes.version() > 0 && knows_target || self.peering.uptime_ms(now_ms) >= LEARNING_MS
     }
 
     /// Whether packets can be forwarded.
--- a/src/forward/balancer_run.rs
+++ b/src/forward/balancer_run.rs
@@ -10,21 +10,16 @@
     decision::DecisionLog,
     node::{Command, Node},
     registrar::Learned,
+    rotation::Rotation,
     settings::ForwardSettings,
     socket::{MAX_BATCH, MAX_DATAGRAM_LEN},
 };
 use crate::{
-    clock::Clock,
-    control::store::LeasedStore,
-    flow::packet::PacketFormat,
-    membership::instance::Instance,
-    observe::counters::Event,
+    clock::Clock, control::store::LeasedStore, flow::packet::PacketFormat,
+    membership::instance::Instance, observe::counters::Event,
 };
 
 const TICK_INTERVAL_MS: u64 = 50;
-/// Time in which the fabric notices that a stopping balancer is not ready and sends it no more:
-/// two probes, half a second apart, with room for a slow one.
-const ROTATE_OUT_MS: u64 = 2_000;
 
 /// A balancer with its sockets.
 #[derive(Debug)]
@@ -32,6 +27,7 @@
     core: BalancerCore<F>,
     node: Node<L>,
     decisions: DecisionLog,
+    rotation: Rotation,
     clock: Clock,
     caller_port: u16,
     log: Logger,
@@ -52,6 +48,7 @@
             core: BalancerCore::new(format, own, settings.seeds.clone(), clock.now_ms()),
             decisions: DecisionLog::new(log.clone(), node.counters.clone()),
             node,
+            rotation: Rotation::new(),
             clock,
             caller_port: settings.caller_port,
             log,
@@ -63,20 +60,20 @@
         let mut buffer = [0; MAX_DATAGRAM_LEN];
         let mut ticks = time::interval(Duration::from_millis(TICK_INTERVAL_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut ends_at_ms = u64::MAX;
         let mut takes_packets = false;
-        while self.clock.now_ms() < ends_at_ms {
+        while !self.rotation.is_over(self.clock.now_ms()) {
             tokio::select! {
                 _ = self.node.packets.readable(), if takes_packets => self.forward(&mut buffer),
                 _ = self.node.control.readable() => self.read_notices(&mut buffer),
                 Some(learned) = self.node.learned.recv() => self.learn(learned),
                 Some(command) = self.node.commands.recv() => {
-                    if matches!(command, Command::Stop) && ends_at_ms == u64::MAX {
-                        ends_at_ms = self.clock.now_ms() + ROTATE_OUT_MS;
+                    if matches!(command, Command::Stop) {
                         info!(self.log, "stopping"; "flows" => self.core.flows());
+                        self.rotation.stop(self.clock.now_ms());
+                        self.tick();
                     }
                 }
-                _ = ticks.tick() => self.tick(ends_at_ms == u64::MAX),
+                _ = ticks.tick() => self.tick(),
             }
             self.node.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
@@ -139,12 +136,28 @@
         }
     }
 
-    fn tick(&mut self, is_running: bool) {
+    fn tick(&mut self) {
         let now_ms = self.clock.now_ms();
-        self.core.tick(now_ms);
-        self.node
-            .set_ready(is_running && self.core.is_ready(now_ms));
+        let domain = Arc::clone(&self.core.peering.own().failure_domain);
+        let can_leave = self
+            .core
+            .peering
+            .directory
+            .can_leave_rotation(&domain, now_ms);
+        let was_ready = self.rotation.is_ready();
+        self.rotation
+            .update(self.core.is_ready(now_ms), can_leave, now_ms);
+        let is_ready = self.rotation.is_ready();
+        if is_ready != was_ready {
+            info!(self.log, "readiness changed"; "is_ready" => is_ready, "can_leave" => can_leave);
+        }
+        self.node.set_ready(is_ready);
         let version = self.core.routes().version();
+        let is_in_rotation = self.rotation.is_in_rotation(now_ms);
+        if self.core.peering.set_in_rotation(is_in_rotation) {
+            self.core.peering.tell_all(version, None, now_ms);
+        }
+        self.core.tick(now_ms);
         if let Some((address, _)) = self.core.peering.newer_routes(version, now_ms) {
             self.node.fetch_routes(address);
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod notices;
 pub mod peering;
 pub mod registrar;
+pub mod rotation;
 pub mod route_fetch;
 pub mod settings;
 pub mod socket;
--- a/src/forward/node.rs
+++ b/src/forward/node.rs
@@ -205,7 +205,11 @@
 
     /// Fetches newer routes from another process, one fetch at a time.
     pub fn fetch_routes(&mut self, address: SocketAddrV4) {
-        if self.fetching.as_ref().is_some_and(|task| !task.is_finished()) {
+        if self
+            .fetching
+            .as_ref()
+            .is_some_and(|task| !task.is_finished())
+        {
             return;
         }
         let news = self.news.clone();
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -46,6 +46,7 @@
                 route_version: presence.route_version,
                 load: presence.load.as_ref().map(|load| load.to_message(true)),
                 reaches_store: presence.reaches_store,
+                is_in_rotation: presence.is_in_rotation,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
             Self::FlowOwner { owner, flows } => Body::FlowOwner(wire::FlowOwner {
@@ -72,6 +73,7 @@
                     route_version: presence.route_version,
                     load: presence.load.as_ref().map(TargetLoad::from_message),
                     reaches_store: presence.reaches_store,
+                    is_in_rotation: presence.is_in_rotation,
                 }),
                 presence.wants_members,
             ),
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -35,6 +35,7 @@
     own: Instance,
     seeds: Vec<SocketAddrV4>,
     is_leaving: bool,
+    is_in_rotation: bool,
     started_at_ms: u64,
     told_at_ms: Option<u64>,
     asked_at_ms: Option<u64>,
@@ -53,6 +54,7 @@
             seeds,
             own,
             is_leaving: false,
+            is_in_rotation: false,
             started_at_ms: now_ms,
             told_at_ms: None,
             asked_at_ms: None,
@@ -100,9 +102,15 @@
             route_version,
             load,
             reaches_store: self.reaches_store(now_ms),
+            is_in_rotation: self.is_in_rotation && !self.is_leaving,
         }
     }
 
+    /// Says whether the fabric sends callers' packets here. Returns whether that is new.
+    pub fn set_in_rotation(&mut self, is_in_rotation: bool) -> bool {
+        std::mem::replace(&mut self.is_in_rotation, is_in_rotation) != is_in_rotation
+    }
+
     /// Tells everybody that this instance is about to exit.
     pub fn leave(&mut self, route_version: u64, load: Option<TargetLoad>, now_ms: u64) {
         self.is_leaving = true;
@@ -176,8 +184,7 @@
                 change,
             });
             let presence = Box::new(self.presence(route_version, load, now_ms));
-            self.outbox
-                .push(address, Notice::Presence(presence, false));
+            self.outbox.push(address, Notice::Presence(presence, false));
         }
     }
 
--- a/src/forward/route_fetch.rs
+++ b/src/forward/route_fetch.rs
@@ -33,11 +33,7 @@
 }
 
 /// Sends the newest routes to everyone who connects.
-pub async fn serve(
-    listener: TcpListener,
-    routes: watch::Receiver<Arc<RouteTable>>,
-    log: Logger,
-) {
+pub async fn serve(listener: TcpListener, routes: watch::Receiver<Arc<RouteTable>>, log: Logger) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             time::sleep(Duration::from_millis(FETCH_TIMEOUT_MS)).await;
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -9,6 +9,8 @@
 
 /// Silence after which an instance gets no new flows and keeps no owners: three presences lost.
 pub const SUSPECT_AFTER_MS: u64 = 700;
+/// Time for which an instance that has left is expected back from a restart.
+const RESTART_MS: u64 = 2_000;
 /// Silence after which an instance is forgotten; longer than a freeze or a cut is likely to last.
 const FORGET_AFTER_MS: u64 = 30_000;
 /// Silence after which an agent that was heard is not expected back with its flows.
@@ -33,6 +35,8 @@
     pub is_leaving: bool,
     /// Version of its route table.
     pub route_version: u64,
+    /// Whether the fabric sends callers' packets to it.
+    pub is_in_rotation: bool,
     /// When it last said that it reaches the store.
     pub reached_store_at_ms: Option<u64>,
     /// Load of its target, with the time of the report.
@@ -52,6 +56,7 @@
             is_confirmed: false,
             is_leaving: false,
             route_version: 0,
+            is_in_rotation: false,
             reached_store_at_ms: None,
             load: TargetLoad::default(),
             placed_since_report: 0,
@@ -219,6 +224,7 @@
         member.is_confirmed = true;
         member.heard_at_ms = now_ms;
         member.route_version = presence.route_version;
+        member.is_in_rotation = presence.is_in_rotation;
         if presence.reaches_store {
             member.reached_store_at_ms = Some(now_ms);
         }
@@ -278,7 +284,7 @@
     pub fn forget_silent(&mut self, now_ms: u64) -> Vec<Arc<str>> {
         let is_kept = |member: &Member| {
             let silent_ms = now_ms.saturating_sub(member.heard_at_ms);
-            silent_ms < FORGET_AFTER_MS && !(member.is_leaving && silent_ms > SUSPECT_AFTER_MS)
+            silent_ms < FORGET_AFTER_MS && !(member.is_leaving && silent_ms > RESTART_MS)
         };
         let gone = self.members.iter().filter(|member| !is_kept(member));
         let names: Vec<_> = gone.map(|m| Arc::clone(&m.instance.name)).collect();
@@ -331,6 +337,24 @@
             .max_by_key(|step| step.weight)
     }
 
+    /// Whether half of the balancers of a failure domain stay in rotation without this one.
+    ///
+    /// With fewer the fabric sends packets to all of them, also to those that are restarting.
+    #[must_use]
+    pub fn can_leave_rotation(&self, failure_domain: &str, now_ms: u64) -> bool {
+        let members = self.members.iter().filter(|member| {
+            member.instance.role == InstanceRole::Balancer
+                && *member.instance.failure_domain == *failure_domain
+                && !self.is_own(member)
+        });
+        let (mut others, mut in_rotation) = (0, 0);
+        for member in members {
+            others += 1;
+            in_rotation += usize::from(member.is_in_rotation && member.is_alive(now_ms));
+        }
+        others == 0 || in_rotation * 2 > others
+    }
+
     /// Weight of this instance in a flow's order.
     #[must_use]
     pub fn own_weight(&self, flow_hash: u64) -> u64 {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -165,4 +165,6 @@
     pub load: Option<TargetLoad>,
     /// The sender has heard of the store within the last seconds.
     pub reaches_store: bool,
+    /// The fabric sends callers' packets to the sender.
+    pub is_in_rotation: bool,
 }
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -69,6 +69,9 @@
     /// The sender has heard of the store within the last seconds.
     #[prost(bool, tag = "6")]
     pub reaches_store: bool,
+    /// The fabric sends callers' packets to the sender; only from balancers.
+    #[prost(bool, tag = "7")]
+    pub is_in_rotation: bool,
 }
 /// How busy a target is.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/tests/ownership.rs
@@ -0,0 +1,169 @@
+//! Open flows find their target whatever happens to balancers and agents.
+
+mod world;
+
+use proptest::prelude::*;
+use world::{World, request, syn};
+
+#[test]
+fn a_flow_survives_the_replacement_of_all_balancers() {
+    let mut world = World::new(3, 5, 5, 20);
+    for number in 0..50 {
+        world.open(usize::from(number % 3), number);
+    }
+    (0..3).for_each(|index| world.restart_balancer(index));
+    world.advance(100);
+    for number in 0..50 {
+        world.from_caller(usize::from((number + 1) % 3), request(number));
+    }
+    world.advance(500);
+    for number in 0..50 {
+        assert_eq!(world.requests(number), 1, "flow {number}");
+        assert!(!world.was_reset(number));
+    }
+}
+
+#[test]
+fn a_flow_is_found_when_every_process_has_restarted() {
+    let mut world = World::new(2, 5, 5, 20);
+    for number in 0..40 {
+        world.open(0, number);
+    }
+    (0..2).for_each(|index| world.restart_balancer(index));
+    (0..5).for_each(|index| world.restart_agent(index));
+    world.advance(600);
+    for number in 0..40 {
+        world.from_caller(1, request(number));
+        assert_eq!(world.requests(number), 1, "flow {number}");
+        assert!(!world.was_reset(number));
+    }
+}
+
+#[test]
+fn a_balancer_learns_the_owner_from_the_first_lookup() {
+    let mut world = World::new(2, 5, 5, 20);
+    let holder = world.open(0, 1);
+    world.from_caller(1, request(1));
+    world.from_caller(1, request(1));
+    assert_eq!(world.agents[holder].target.requests.len(), 2);
+    assert_eq!(world.balancers[1].flows(), 1);
+}
+
+#[test]
+fn a_flow_of_an_agent_that_is_away_is_not_reset() {
+    let mut world = World::new(2, 4, 5, 20);
+    let holder = world.open(0, 1);
+    world.agents[holder].is_up = false;
+    world.restart_balancer(1);
+    world.advance(3_000);
+    world.from_caller(1, request(1));
+    assert!(!world.was_reset(1), "the holder may come back");
+    world.restart_agent(holder);
+    world.advance(600);
+    world.from_caller(1, request(1));
+    assert_eq!(world.requests(1), 1);
+}
+
+#[test]
+fn a_flow_that_every_target_denies_is_reset() {
+    let mut world = World::new(2, 4, 5, 20);
+    let holder = world.open(0, 1);
+    world.restart_target(holder);
+    world.restart_agent(holder);
+    world.advance(5_000);
+    world.restart_balancer(0);
+    world.advance(300);
+    world.from_caller(0, request(1));
+    assert!(
+        world.was_reset(1),
+        "its caller must not wait for its deadline"
+    );
+}
+
+#[test]
+fn flows_of_a_restarted_target_are_reset_at_once() {
+    let mut world = World::new(1, 3, 5, 20);
+    let holder = world.open(0, 1);
+    world.from_caller(0, request(1));
+    world.restart_target(holder);
+    world.advance(600);
+    assert!(world.was_reset(1));
+}
+
+#[test]
+fn a_draining_target_keeps_its_flows_and_gets_no_new_ones() {
+    let mut world = World::new(2, 3, 5, 20);
+    let holder = world.open(0, 1);
+    world.agents[holder].is_draining = true;
+    world.advance(600);
+    let syns = world.agents[holder].target.syns;
+    for number in 100..160 {
+        world.from_caller(usize::from(number % 2), syn(number, 0));
+        world.advance(10);
+    }
+    assert_eq!(world.agents[holder].target.syns, syns);
+    world.from_caller(1, request(1));
+    assert_eq!(world.requests(1), 1);
+}
+
+#[test]
+fn a_copy_of_a_syn_is_never_reset() {
+    let mut world = World::new(1, 2, 5, 20);
+    for agent in &mut world.agents {
+        agent.is_draining = true;
+    }
+    world.advance(1_000);
+    world.from_caller(0, syn(1, 0));
+    assert!(world.was_reset(1), "no target takes new flows");
+    world.from_caller(0, syn(2, 1));
+    assert!(
+        !world.was_reset(2),
+        "an earlier copy may have opened the flow"
+    );
+}
+
+#[test]
+fn a_balancer_that_has_just_started_leaves_packets_in_the_buffer() {
+    use bamboowind::forward::balancer::BalancerCore;
+    let own = World::new(1, 1, 1, 1).balancers[0].peering.own().clone();
+    let mut core = BalancerCore::new(world::packet::PlatformPacket, own, Vec::new(), 0);
+    assert!(
+        !core.takes_packets(10),
+        "it knows neither routes nor targets"
+    );
+    core.set_routes(world::routes(1));
+    assert!(!core.takes_packets(20), "it knows no target");
+    assert!(
+        core.takes_packets(1_000),
+        "what cannot be served is refused"
+    );
+}
+
+proptest! {
+    /// Restarts of any balancers and agents, one at a time, in any order.
+    #[test]
+    fn flows_survive_any_sequence_of_restarts(
+        restarts in prop::collection::vec((any::<bool>(), 0_usize..5), 1..8),
+        flows in 1_u16..12,
+    ) {
+        let mut world = World::new(3, 5, 5, 20);
+        for number in 0..flows {
+            world.open(usize::from(number % 3), number);
+        }
+        for (is_balancer, index) in restarts {
+            if is_balancer {
+                world.restart_balancer(index % 3);
+            } else {
+                world.restart_agent(index);
+            }
+            world.advance(600);
+            for number in 0..flows {
+                let before = world.requests(number);
+                world.from_caller(usize::from(number + 1) % 3, request(number));
+                prop_assert_eq!(world.requests(number), before + 1);
+                prop_assert!(!world.was_reset(number));
+            }
+            world.advance(200);
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform_decode.rs
@@ -0,0 +1,196 @@
+//! What comes from outside the process is decoded, or named and ignored, but never trusted.
+#![allow(dead_code)] // Each module of the adapter is used in part.
+
+use std::path::Path;
+
+use bamboowind::{
+    flow::packet::{FlowKey, Hop, Lookup, PacketFormat},
+    forward::registrar::RouteDocument,
+};
+use proptest::prelude::*;
+
+#[path = "../platform/http.rs"]
+mod http;
+#[path = "../platform/packet.rs"]
+mod packet;
+#[path = "../platform/routes.rs"]
+mod routes;
+#[path = "../platform/settings.rs"]
+mod settings;
+
+use packet::PlatformPacket;
+
+const SYN_BYTES: [u8; 36] = [
+    0x44, 0x33, 0x22, 0x11, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 1, 0, 0x12, 0xc6, 0xbb, 1, 0x41,
+    0x9c, 7, 0, 0x40, 0x64, 0xd5, 0xc3, 0xb2, 0xa1, 0, 0, 0, 0,
+];
+const RESET_BYTES: [u8; 36] = [
+    0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x10, 0, 0, 0, 0, 0, 7, 0, 0x40, 0x64, 0x41, 0x9c, 0xbb, 1, 1, 0,
+    0x12, 0xc6, 0, 0, 0, 0, 0, 0, 0, 0,
+];
+
+fn example_flow() -> FlowKey {
+    FlowKey {
+        caller: "100.64.0.7:40001".parse().unwrap(),
+        service: "198.18.0.1:443".parse().unwrap(),
+    }
+}
+
+#[test]
+fn the_example_packets_are_read_and_written() {
+    let segment = PlatformPacket.decode(&SYN_BYTES).unwrap();
+    assert_eq!(segment.caller_flow(), example_flow());
+    assert_eq!(segment.sequence, 0x1122_3344);
+    assert!(segment.is_first_syn());
+    assert_eq!(PlatformPacket.reset(example_flow(), 0), RESET_BYTES);
+}
+
+fn hops() -> impl Strategy<Value = Hop> {
+    let lookups = prop::sample::select(vec![
+        Lookup::Known,
+        Lookup::Registry,
+        Lookup::Registered,
+        Lookup::Walk,
+    ]);
+    (
+        any::<u8>(),
+        lookups,
+        any::<bool>(),
+        any::<u16>(),
+        any::<u16>(),
+        any::<u8>(),
+        0_u16..256,
+    )
+        .prop_map(
+            |(tried, lookup, is_incomplete, entry_tag, service_tag, priority, tens)| Hop {
+                tried,
+                lookup,
+                is_incomplete,
+                entry_tag,
+                service_tag,
+                priority,
+                target_latency_ms: tens * 10,
+            },
+        )
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_a_packet_or_none(bytes in prop::collection::vec(any::<u8>(), 0..100)) {
+        if let Some(segment) = PlatformPacket.decode(&bytes) {
+            prop_assert_eq!(bytes.len(), 36 + usize::from(segment.data_len));
+        }
+    }
+
+    #[test]
+    fn a_hop_is_read_as_it_was_written_and_changes_nothing_that_is_summed(
+        hop in hops(),
+        mut bytes in prop::collection::vec(any::<u8>(), 36),
+    ) {
+        let before = bytes.clone();
+        PlatformPacket.write_hop(&mut bytes, hop);
+        prop_assert_eq!(PlatformPacket.read_hop(&bytes), hop);
+        for (index, (old, new)) in before.iter().zip(&bytes).enumerate() {
+            match index {
+                10 => prop_assert_eq!(old & !64, *new),
+                11..=15 | 32..=35 => {}
+                _ => prop_assert_eq!(old, new),
+            }
+        }
+    }
+
+    #[test]
+    fn any_configuration_is_routes_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = routes::OperatorConfig.decode(&bytes);
+    }
+}
+
+#[test]
+fn a_configuration_becomes_routes() {
+    let document = br#"{"version":7,"extra":[],"routes":[
+        {"name":"a","host":"198.18.0.1","prefix":"/8443/","type":"idempotent","priority":2,
+         "target_latency_ms":200,
+         "backends":[{"service":"one","weight":90},{"service":"two","weight":10}]},
+        {"name":"b","host":"198.18.0.2","prefix":"/443/","service":"two"},
+        {"name":"c","host":"not an address","prefix":"/1/","service":"two"}],
+        "limits":{"idle_timeout_ms":15000}}"#;
+    insta::assert_debug_snapshot!(routes::OperatorConfig.decode(document).unwrap());
+}
+
+#[test]
+fn hostile_heartbeats_name_no_target() {
+    let target = "10.1.0.12:8165".parse().unwrap();
+    let good = r#"{"service":"s","address":"10.1.0.12:8165","zone":"z","version":"v1","capacity":5,
+        "state":"ready","warmup_left_ms":0,"seq":4,"born":1769000000000}"#;
+    let cases = [
+        ("good", good.to_owned()),
+        ("no service", good.replace(r#""service":"s","#, "")),
+        ("capacity as text", good.replace("5,", "\"5\",")),
+        (
+            "no capacity",
+            good.replace("\"capacity\":5", "\"capacity\":0"),
+        ),
+        ("unknown state", good.replace("ready", "asleep")),
+        ("negative number", good.replace("\"seq\":4", "\"seq\":-4")),
+        ("another address", good.replace("10.1.0.12", "10.1.0.13")),
+        ("no JSON", "\u{0}\u{1}".to_owned()),
+        ("a list", "[]".to_owned()),
+    ];
+    let results: Vec<_> = cases
+        .iter()
+        .map(|(name, body)| {
+            let result = http::decode_heartbeat("i-1", body.as_bytes(), target);
+            format!("{name}: {result:?}")
+        })
+        .collect();
+    insta::assert_snapshot!(results.join("\n"));
+}
+
+const SETTINGS: &str = r#"
+node_name = "side-a-1"
+role = "agent"
+ip = "10.1.0.12"
+zone = "a"
+internal_ports = [7720, 7735]
+seeds = ["10.1.0.10:8166", "unreadable"]
+heartbeat_ms = 770
+app = "10.1.0.12:8165"
+unknown = { nested = true }
+[listen_addrs]
+datagram_addr = "10.1.0.12:8172"
+outbound = "10.1.0.12:8162"
+ready_addr = "10.1.0.12:8167"
+control = "10.1.0.12:8166"
+[platform]
+address = "10.200.1.7:8169"
+"#;
+
+fn parse(text: &str, is_agent: bool) -> Result<settings::PlatformSettings, String> {
+    settings::PlatformSettings::parse(Path::new("boot.toml"), text, is_agent)
+        .map_err(|error| error.to_string())
+}
+
+#[test]
+fn the_settings_file_becomes_settings() {
+    insta::assert_debug_snapshot!(parse(SETTINGS, true).unwrap());
+    assert_eq!(parse(SETTINGS, false).unwrap().forward.target, None);
+}
+
+#[test]
+fn each_fault_of_the_settings_file_is_one_clear_line() {
+    let cases = [
+        SETTINGS.replace("app =", "other ="),
+        SETTINGS.replace("outbound =", "other ="),
+        SETTINGS.replace("node_name =", "other ="),
+        SETTINGS.replace("[7720, 7735]", "[7720, 7720]"),
+        SETTINGS.replace("\"10.1.0.12\"", "\"host\""),
+        SETTINGS.replace("heartbeat_ms = 770", "heartbeat_ms = \"770\""),
+        "not toml".to_owned(),
+    ];
+    let faults: Vec<_> = cases
+        .iter()
+        .map(|text| parse(text, true).unwrap_err())
+        .collect();
+    assert!(faults.iter().all(|fault| fault.lines().count() == 1));
+    insta::assert_snapshot!(faults.join("\n"));
+}
