--- /dev/null
+++ b/src/forward/agent_lookup.rs
@@ -0,0 +1,159 @@
+//! Flows that an agent's target does not hold: told to their keepers, found, or denied by all.
+
+use std::sync::Arc;
+
+use super::{
+    agent::{AgentCore, AgentVerdict},
+    decision::{Decision, Reason},
+};
+use crate::{
+    flow::packet::{FlowKey, Hop, Lookup, PacketFormat, Segment},
+    membership::rendezvous::flow_hash,
+};
+
+/// Agents that a packet of an unknown flow is offered to at most.
+const MAX_WALK: u8 = 16;
+/// Agents that keep the owner of each flow, so that one may be lost.
+const KEEPERS: usize = 2;
+/// Pause between two repetitions of all open flows to their keepers.
+const REPEAT_INTERVAL_MS: u64 = 10_000;
+
+impl<F: PacketFormat> AgentCore<F> {
+    /// A packet of a flow that the target does not hold, as far as is known: the owner gets it,
+    /// or the target is asked by handing it the packet.
+    pub(super) fn unknown(
+        &mut self,
+        datagram: &mut [u8],
+        flow: FlowKey,
+        hop: Hop,
+        now_ms: u64,
+    ) -> AgentVerdict<F::Reset> {
+        if hop.lookup == Lookup::Registry
+            && let Some(owner) = self.owners.owner(flow, now_ms)
+            && owner != self.peering.own().packet_address
+        {
+            let hop = Hop {
+                lookup: Lookup::Registered,
+                ..hop
+            };
+            self.format.write_hop(datagram, hop);
+            return AgentVerdict::Instance(owner);
+        }
+        AgentVerdict::Target
+    }
+
+    /// Tells the balancer that took the packet where the flow is, if it had to look it up.
+    pub(super) fn tell_entry(&mut self, flow: FlowKey, hop: Hop) {
+        if hop.lookup == Lookup::Known && hop.tried == 0 {
+            return;
+        }
+        let own = self.peering.own().packet_address;
+        if let Some(entry) = self.peering.directory.by_tag(hop.entry_tag) {
+            let address = entry.instance.control_address;
+            self.peering.outbox.push_owner(address, own, flow);
+        }
+    }
+
+    /// Tells the flow's keepers that it is here.
+    pub(super) fn tell_keepers(&mut self, flow: FlowKey, now_ms: u64) {
+        let Some(service) = self.service() else {
+            return;
+        };
+        let own = self.peering.own().packet_address;
+        let hash = flow_hash(flow);
+        for rank in 0..KEEPERS {
+            let directory = &self.peering.directory;
+            let Some(keeper) = directory.in_flow_order(hash, &service, rank, now_ms) else {
+                return;
+            };
+            if !directory.is_own(keeper) {
+                let address = keeper.instance.control_address;
+                self.peering.outbox.push_owner(address, own, flow);
+            }
+        }
+    }
+
+    /// Offers a packet that the own target has handed back to the next agent in the flow's order.
+    ///
+    /// When every agent of the service has been asked, the flow has died with an earlier start of
+    /// its target, and a caller that waits for an answer is told by a reset.
+    pub(super) fn walk(
+        &mut self,
+        datagram: &mut [u8],
+        segment: &Segment,
+        hop: Hop,
+        now_ms: u64,
+    ) -> AgentVerdict<F::Reset> {
+        let flow = segment.caller_flow();
+        let hash = flow_hash(flow);
+        let service = self.service();
+        let directory = &self.peering.directory;
+        // A balancer's cache or a keeper was wrong: the search begins at the head of the order.
+        let (below, lookup) = match hop.lookup {
+            Lookup::Known => (u64::MAX, Lookup::Registry),
+            Lookup::Registered => (u64::MAX, Lookup::Walk),
+            Lookup::Registry | Lookup::Walk => (directory.own_weight(hash), Lookup::Walk),
+        };
+        let next = service.as_deref().and_then(|name| {
+            let first = directory.next_in_flow_order(hash, name, below, now_ms)?;
+            if directory.is_own(first.member) {
+                directory.next_in_flow_order(hash, name, first.weight, now_ms)
+            } else {
+                Some(first)
+            }
+        });
+        let hears_all = service
+            .as_deref()
+            .is_some_and(|name| directory.hears_all_agents(name, now_ms));
+        let is_incomplete = hop.is_incomplete || !hears_all || !self.knows_members;
+        let tried = hop.tried.saturating_add(1);
+        if let Some(next) = next
+            && tried <= MAX_WALK
+        {
+            let address = next.member.instance.packet_address;
+            let agent = Arc::clone(&next.member.instance.name);
+            let hop = Hop {
+                tried,
+                lookup,
+                is_incomplete,
+                service_tag: 0,
+                ..hop
+            };
+            self.format.write_hop(datagram, hop);
+            self.peering
+                .decisions
+                .push(Decision::LookedUp { flow, agent, tried });
+            return AgentVerdict::Instance(address);
+        }
+        let reason = Reason::FlowNotFound;
+        let is_waiting = segment.data_len > 0 && !segment.flags.rst;
+        if next.is_none() && is_waiting && !is_incomplete {
+            self.peering.decisions.push(Decision::Refused {
+                flow,
+                reason,
+                route_version: self.route_version,
+            });
+            let reset = self.format.reset(flow, segment.acknowledged);
+            return AgentVerdict::Reset(flow.caller, reset);
+        }
+        self.peering
+            .decisions
+            .push(Decision::Dropped { flow, reason });
+        AgentVerdict::Drop
+    }
+
+    /// Tells the keepers of all open flows again when the keepers may have changed.
+    pub(super) fn repeat_flows(&mut self, now_ms: u64) {
+        let epoch = self.peering.directory.epoch();
+        let is_old = now_ms.saturating_sub(self.told_flows_at_ms) >= REPEAT_INTERVAL_MS;
+        if epoch == self.told_epoch && !is_old {
+            return;
+        }
+        self.told_epoch = epoch;
+        self.told_flows_at_ms = now_ms;
+        let open: Vec<_> = self.flows.open().collect();
+        for flow in open {
+            self.tell_keepers(flow, now_ms);
+        }
+    }
+}
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -6,8 +6,7 @@
 use tokio::time::{self, MissedTickBehavior};
 
 use super::{
-    agent::{AgentCore, AgentVerdict, Destination},
-    balancer::Verdict,
+    agent::{AgentCore, AgentVerdict},
     decision::DecisionLog,
     node::{Command, Node},
     registrar::Learned,
@@ -147,25 +146,25 @@
 
     fn carry_out(&self, datagram: &[u8], verdict: AgentVerdict<F::Reset>) {
         match verdict {
-            Ok(Destination::Target) => {
+            AgentVerdict::Target => {
                 self.outbound.send(datagram, self.target_address);
                 self.node.counters.count(Event::PacketForwarded);
             }
-            Ok(Destination::Instance(address)) => {
+            AgentVerdict::Instance(address) => {
                 self.node.packets.send(datagram, address);
                 self.node.counters.count(Event::PacketForwarded);
             }
-            Ok(Destination::Caller(caller)) => {
+            AgentVerdict::Caller(caller) => {
                 self.node.packets.send(datagram, self.at_caller(caller));
                 self.node.counters.count(Event::PacketReturned);
             }
-            Err(Verdict::Reset(caller, reset)) => {
+            AgentVerdict::Reset(caller, reset) => {
                 self.node
                     .packets
                     .send(reset.as_ref(), self.at_caller(caller));
                 self.node.counters.count(Event::ResetSent);
             }
-            Err(Verdict::Send(_) | Verdict::Drop) => {}
+            AgentVerdict::Drop => {}
         }
     }
 
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -249,7 +249,7 @@
                 self.peering
                     .hear(*presence, wants_members, version, None, now_ms);
             }
-            Notice::Load(load) => self.peering.hear_load(from, load, now_ms),
+            Notice::Load(load) => self.peering.hear_load(from, &load, now_ms),
             Notice::FlowOwner { owner, flows } => {
                 for flow in flows {
                     self.flows.insert(flow, owner, now_ms);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod agent;
 pub mod agent_flows;
+pub mod agent_lookup;
 pub mod agent_run;
+pub mod agent_syn;
 pub mod balancer;
 pub mod balancer_run;
 pub mod decision;
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -221,7 +221,7 @@
     }
 
     /// Takes an agent's report of its load.
-    pub fn hear_load(&mut self, from: SocketAddrV4, load: TargetLoad, now_ms: u64) {
+    pub fn hear_load(&mut self, from: SocketAddrV4, load: &TargetLoad, now_ms: u64) {
         let Some(change) = self.directory.hear_load(from, load, now_ms) else {
             return;
         };
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -47,7 +47,7 @@
 /// Where the routes lie in the store, and how they are read.
 pub trait RouteDocument: Clone + Send + Sync + 'static {
     /// Key of the document.
-    fn key(&self) -> &str;
+    fn key(&self) -> &'static str;
 
     /// Reads the document.
     ///
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -245,7 +245,7 @@
     pub fn hear_load(
         &mut self,
         control_address: SocketAddrV4,
-        load: TargetLoad,
+        load: &TargetLoad,
         now_ms: u64,
     ) -> Option<MemberChange> {
         let index = self
@@ -258,7 +258,11 @@
         }
         member.heard_at_ms = now_ms;
         let service = load.service.clone().or(member.load.service.clone());
-        self.take_load(index, TargetLoad { service, ..load })
+        let load = TargetLoad {
+            service,
+            ..load.clone()
+        };
+        self.take_load(index, load)
     }
 
     fn take_load(&mut self, index: usize, load: TargetLoad) -> Option<MemberChange> {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,11 +4,9 @@
 //! reports that are some milliseconds old: the expected time to an answer decides, not the number
 //! of flows, so a slow or cold target is used only as far as it still helps.
 
-use std::sync::Arc;
-
 use crate::membership::{
     directory::{Directory, Member},
-    instance::TargetState,
+    instance::{TargetLoad, TargetState},
 };
 
 /// Service time assumed while no target of the service has reported one, in microseconds.
@@ -42,6 +40,21 @@
     pub is_remote: bool,
 }
 
+impl Candidate {
+    /// A target with the load that its agent has reported, and flows placed there since.
+    #[must_use]
+    pub fn new(load: &TargetLoad, placed_since_report: u32, is_remote: bool) -> Self {
+        Self {
+            capacity: load.capacity,
+            running: load.running + placed_since_report,
+            flows: load.flows + placed_since_report,
+            service_time_us: load.service_time_us,
+            is_cold: load.cold_left_ms > 0,
+            is_remote,
+        }
+    }
+}
+
 /// Expected cost of placing one more request on a target, in microseconds.
 ///
 /// ```
@@ -107,8 +120,9 @@
     let members = directory.members().iter().filter(takes_flows).enumerate();
     members
         .min_by_key(|(index, member)| {
-            let cost = cost_us(&candidate(member, request.failure_domain), usual_us);
-            (cost, (index + rotation) % 64)
+            let is_remote = *member.instance.failure_domain != *request.failure_domain;
+            let candidate = Candidate::new(&member.load, member.placed_since_report, is_remote);
+            (cost_us(&candidate, usual_us), (index + rotation) % 64)
         })
         .map(|(_, member)| member)
 }
@@ -122,21 +136,3 @@
     let middle = sorted.get(sorted.len() / 2);
     middle.copied().unwrap_or(DEFAULT_SERVICE_TIME_US)
 }
-
-fn candidate(member: &Member, failure_domain: &str) -> Candidate {
-    let load = &member.load;
-    Candidate {
-        capacity: load.capacity,
-        running: load.running + member.placed_since_report,
-        flows: load.flows + member.placed_since_report,
-        service_time_us: load.service_time_us,
-        is_cold: load.cold_left_ms > 0,
-        is_remote: *member.instance.failure_domain != *failure_domain,
-    }
-}
-
-/// Name of an instance, to keep a borrowed choice apart from the directory.
-#[must_use]
-pub fn name(member: &Member) -> Arc<str> {
-    Arc::clone(&member.instance.name)
-}
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -76,14 +76,14 @@
     let mut world = World::new(3, 7, 5, 70);
     for number in 0..400 {
         let copy = 1 + u32::from(number % 2);
-        world.from_caller(usize::from(number % 3), syn(number, copy));
+        world.caller_sends(usize::from(number % 3), syn(number, copy));
     }
     let mut begun = Vec::new();
     let mut in_time = 0;
     for step in 0..100_u16 {
         for offset in 0..4 {
             let number = 1_000 + step * 4 + offset;
-            world.from_caller(usize::from(number % 3), syn(number, 0));
+            world.caller_sends(usize::from(number % 3), syn(number, 0));
             begun.push((number, world.now_ms));
         }
         // Every caller that got a SYN+ACK sends its request.
@@ -96,7 +96,7 @@
             .collect();
         for (_, to) in opened {
             let bytes = datagram(to, service_address(), ACK, 8, 1, 100);
-            world.from_caller(0, bytes);
+            world.caller_sends(0, bytes);
         }
         world.advance(10);
     }
@@ -119,12 +119,12 @@
 fn a_syn_whose_caller_does_not_answer_counts_for_a_moment_only() {
     let mut world = World::new(1, 1, 2, 20);
     for number in 0..3 {
-        world.from_caller(0, syn(number, 0));
+        world.caller_sends(0, syn(number, 0));
     }
     assert_eq!(world.agents[0].core.load(world.now_ms).running, 3);
     world.advance(60);
     assert_eq!(world.agents[0].core.load(world.now_ms).running, 0);
-    world.from_caller(0, syn(9, 0));
+    world.caller_sends(0, syn(9, 0));
     assert!(world.agents[0].target.flows.contains(&flow(9)));
 }
 
@@ -133,8 +133,8 @@
 fn a_burst_spreads_over_all_targets() {
     let mut world = World::new(3, 7, 5, 40);
     for number in 0..28 {
-        world.from_caller(usize::from(number % 3), syn(number, 0));
-        world.from_caller(usize::from(number % 3), request(number));
+        world.caller_sends(usize::from(number % 3), syn(number, 0));
+        world.caller_sends(usize::from(number % 3), request(number));
         if number % 3 == 2 {
             world.advance(20);
         }
@@ -148,12 +148,12 @@
 fn a_copy_of_a_waiting_syn_stays_where_it_waits() {
     let mut world = World::new(1, 3, 1, 10_000);
     for number in 0..12 {
-        world.from_caller(0, syn(number, 0));
+        world.caller_sends(0, syn(number, 0));
     }
     world.advance(200);
     let before: usize = world.agents.iter().map(|agent| agent.target.syns).sum();
     for number in 0..12 {
-        world.from_caller(0, syn(number, 1));
+        world.caller_sends(0, syn(number, 1));
     }
     let flows: usize = world
         .agents
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -14,7 +14,7 @@
     (0..3).for_each(|index| world.restart_balancer(index));
     world.advance(100);
     for number in 0..50 {
-        world.from_caller(usize::from((number + 1) % 3), request(number));
+        world.caller_sends(usize::from((number + 1) % 3), request(number));
     }
     world.advance(500);
     for number in 0..50 {
@@ -33,7 +33,7 @@
     (0..5).for_each(|index| world.restart_agent(index));
     world.advance(600);
     for number in 0..40 {
-        world.from_caller(1, request(number));
+        world.caller_sends(1, request(number));
         assert_eq!(world.requests(number), 1, "flow {number}");
         assert!(!world.was_reset(number));
     }
@@ -43,8 +43,8 @@
 fn a_balancer_learns_the_owner_from_the_first_lookup() {
     let mut world = World::new(2, 5, 5, 20);
     let holder = world.open(0, 1);
-    world.from_caller(1, request(1));
-    world.from_caller(1, request(1));
+    world.caller_sends(1, request(1));
+    world.caller_sends(1, request(1));
     assert_eq!(world.agents[holder].target.requests.len(), 2);
     assert_eq!(world.balancers[1].flows(), 1);
 }
@@ -56,11 +56,11 @@
     world.agents[holder].is_up = false;
     world.restart_balancer(1);
     world.advance(3_000);
-    world.from_caller(1, request(1));
+    world.caller_sends(1, request(1));
     assert!(!world.was_reset(1), "the holder may come back");
     world.restart_agent(holder);
     world.advance(600);
-    world.from_caller(1, request(1));
+    world.caller_sends(1, request(1));
     assert_eq!(world.requests(1), 1);
 }
 
@@ -73,7 +73,7 @@
     world.advance(5_000);
     world.restart_balancer(0);
     world.advance(300);
-    world.from_caller(0, request(1));
+    world.caller_sends(0, request(1));
     assert!(
         world.was_reset(1),
         "its caller must not wait for its deadline"
@@ -84,7 +84,7 @@
 fn flows_of_a_restarted_target_are_reset_at_once() {
     let mut world = World::new(1, 3, 5, 20);
     let holder = world.open(0, 1);
-    world.from_caller(0, request(1));
+    world.caller_sends(0, request(1));
     world.restart_target(holder);
     world.advance(600);
     assert!(world.was_reset(1));
@@ -98,11 +98,11 @@
     world.advance(600);
     let syns = world.agents[holder].target.syns;
     for number in 100..160 {
-        world.from_caller(usize::from(number % 2), syn(number, 0));
+        world.caller_sends(usize::from(number % 2), syn(number, 0));
         world.advance(10);
     }
     assert_eq!(world.agents[holder].target.syns, syns);
-    world.from_caller(1, request(1));
+    world.caller_sends(1, request(1));
     assert_eq!(world.requests(1), 1);
 }
 
@@ -113,9 +113,9 @@
         agent.is_draining = true;
     }
     world.advance(1_000);
-    world.from_caller(0, syn(1, 0));
+    world.caller_sends(0, syn(1, 0));
     assert!(world.was_reset(1), "no target takes new flows");
-    world.from_caller(0, syn(2, 1));
+    world.caller_sends(0, syn(2, 1));
     assert!(
         !world.was_reset(2),
         "an earlier copy may have opened the flow"
@@ -159,7 +159,7 @@
             world.advance(600);
             for number in 0..flows {
                 let before = world.requests(number);
-                world.from_caller(usize::from(number + 1) % 3, request(number));
+                world.caller_sends(usize::from(number + 1) % 3, request(number));
                 prop_assert_eq!(world.requests(number), before + 1);
                 prop_assert!(!world.was_reset(number));
             }
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -158,7 +158,7 @@
 struct Document;
 
 impl RouteDocument for Document {
-    fn key(&self) -> &str {
+    fn key(&self) -> &'static str {
         "routes"
     }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
         routes::{Backend, Class, Route, RouteTable},
     },
     forward::{
-        agent::{AgentCore, AgentVerdict, Destination},
+        agent::{AgentCore, AgentVerdict},
         balancer::{BalancerCore, Verdict},
         target::{Heartbeat, Target},
     },
@@ -325,7 +325,7 @@
                 if agent.is_up {
                     agent.core.tick(now_ms);
                     for answer in answers {
-                        self.from_target(index, answer);
+                        self.target_sends(index, answer);
                     }
                 }
                 self.release(index);
@@ -389,11 +389,11 @@
     }
 
     /// Gives a caller's packet to a balancer. Returns whether it was sent on.
-    pub fn from_caller(&mut self, balancer: usize, mut bytes: Vec<u8>) -> bool {
+    pub fn caller_sends(&mut self, balancer: usize, mut bytes: Vec<u8>) -> bool {
         let verdict = self.balancers[balancer].caller_packet(&mut bytes, self.now_ms);
         let is_sent = match verdict {
             Verdict::Send(address) => {
-                self.to_agent(address, bytes);
+                self.agent_takes(address, bytes);
                 true
             }
             Verdict::Reset(to, _) => {
@@ -406,7 +406,7 @@
         is_sent
     }
 
-    fn to_agent(&mut self, address: SocketAddrV4, mut bytes: Vec<u8>) {
+    fn agent_takes(&mut self, address: SocketAddrV4, mut bytes: Vec<u8>) {
         let mut agents = self.agents.iter();
         let index = agents.position(|agent| agent.instance.packet_address == address);
         let index = index.expect("packets go to agents");
@@ -419,7 +419,7 @@
         self.release(index);
     }
 
-    fn from_target(&mut self, index: usize, mut bytes: Vec<u8>) {
+    fn target_sends(&mut self, index: usize, mut bytes: Vec<u8>) {
         let core = &mut self.agents[index].core;
         let verdict = core.target_packet(&mut bytes, self.now_ms);
         self.carry_out(index, bytes, verdict);
@@ -437,23 +437,23 @@
 
     fn carry_out(&mut self, index: usize, bytes: Vec<u8>, verdict: AgentVerdict<[u8; HEADER_LEN]>) {
         match verdict {
-            Ok(Destination::Target) => {
+            AgentVerdict::Target => {
                 for answer in self.agents[index].target.take(&bytes) {
-                    self.from_target(index, answer);
+                    self.target_sends(index, answer);
                 }
             }
-            Ok(Destination::Instance(address)) => self.to_agent(address, bytes),
-            Ok(Destination::Caller(to)) => {
+            AgentVerdict::Instance(address) => self.agent_takes(address, bytes),
+            AgentVerdict::Caller(to) => {
                 self.received.push((self.now_ms, to, bytes[FLAGS]));
             }
-            Err(Verdict::Reset(to, _)) => self.received.push((self.now_ms, to, RST)),
-            Err(Verdict::Send(_) | Verdict::Drop) => {}
+            AgentVerdict::Reset(to, _) => self.received.push((self.now_ms, to, RST)),
+            AgentVerdict::Drop => {}
         }
     }
 
     /// Opens a flow and returns the agent whose target holds it.
     pub fn open(&mut self, balancer: usize, number: u16) -> usize {
-        self.from_caller(balancer, syn(number, 0));
+        self.caller_sends(balancer, syn(number, 0));
         let key = flow(number);
         // With all slots taken the SYN waits for one.
         while !self
@@ -464,7 +464,7 @@
             self.advance(TICK_MS);
         }
         let ack = datagram(key.caller, key.service, ACK, 8, 1, 0);
-        self.from_caller(balancer, ack);
+        self.caller_sends(balancer, ack);
         let mut agents = self.agents.iter();
         let holder = agents.position(|agent| agent.target.flows.contains(&key));
         holder.expect("the flow is open")
