Find a flow that a copy of its SYN opened elsewhere

Cause: two balancers gave copies of a SYN to two targets. Change: an agent counts a flow as open only if the caller acknowledges its own target's SYN+ACK; the search covers up to 64 agents. The new test fails without the change.

--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -13,6 +13,9 @@
 const OPENING_KEPT_MS: u64 = 1_400;
 /// Time for which a closed flow is remembered, for the last acknowledgements.
 const CLOSED_KEPT_MS: u64 = 2_000;
+/// Largest distance between a target's SYN+ACK and the acknowledgement that opens its flow: what a
+/// target may have sent by then, with room.
+const MAX_OPENING_DISTANCE: u32 = 100_000;
 /// Answers after which a new mean of the service time is taken.
 const SAMPLE_LEN: u64 = 8;
 /// Weight of the newest sample in the mean, as one part in so many.
@@ -40,9 +43,20 @@
     request_at_ms: Option<u64>,
     next_sequence: u32,
     caller_acknowledged: u32,
+    /// Sequence number of the target's SYN+ACK.
+    target_sequence: Option<u32>,
 }
 
 impl AgentFlow {
+    /// Whether a caller that opens the flow answers another target, to which a copy of its SYN
+    /// went.
+    fn is_opened_elsewhere(&self, segment: &Segment) -> bool {
+        self.stage == Stage::Opening
+            && self.target_sequence.is_some_and(|sequence| {
+                segment.acknowledged.wrapping_sub(sequence) > MAX_OPENING_DISTANCE
+            })
+    }
+
     /// Last position that the caller has acknowledged.
     #[must_use]
     pub fn caller_acknowledged(&self) -> u32 {
@@ -171,6 +185,7 @@
             request_at_ms: None,
             next_sequence: 0,
             caller_acknowledged: 0,
+            target_sequence: None,
         };
         self.flows.insert(flow, entry);
         self.openings.push_back((flow, now_ms));
@@ -181,6 +196,9 @@
         let Some(entry) = self.flows.get_mut(&flow) else {
             return CallerPacket::Unknown;
         };
+        if entry.is_opened_elsewhere(segment) {
+            return CallerPacket::Unknown;
+        }
         entry.used_at_ms = now_ms;
         entry.caller_acknowledged = segment.acknowledged;
         let was_opening = entry.stage == Stage::Opening;
@@ -223,7 +241,11 @@
             request_at_ms: None,
             next_sequence: segment.acknowledged,
             caller_acknowledged: segment.sequence,
+            target_sequence: None,
         });
+        if segment.flags.syn {
+            entry.target_sequence = Some(segment.sequence);
+        }
         entry.used_at_ms = now_ms;
         if segment.flags.fin {
             entry.stage = Stage::Closed;
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -11,8 +11,9 @@
     membership::rendezvous::flow_hash,
 };
 
-/// Agents that a packet of an unknown flow is offered to at most.
-const MAX_WALK: u8 = 16;
+/// Agents that a packet of an unknown flow is offered to at most; all of a service of today's
+/// largest site, so that only a lost keeper makes the search long.
+const MAX_WALK: u8 = 64;
 /// Agents that keep the owner of each flow, so that one may be lost.
 const KEEPERS: usize = 2;
 /// Pause between two repetitions of all open flows to their keepers.
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -167,3 +167,37 @@
         }
     }
 }
+
+/// Two balancers give copies of a SYN to two targets; the caller answers the first of them.
+#[test]
+fn a_flow_opens_at_the_target_that_the_caller_answers() {
+    use world::{ACK, datagram, flow};
+    let mut world = World::new(2, 30, 5, 20);
+    for (index, agent) in world.agents.iter_mut().enumerate() {
+        agent.target.sequence = 1_000_000 * u32::try_from(index).unwrap();
+    }
+    for number in 0..20 {
+        let key = flow(number);
+        world.caller_sends(0, syn(number, 0));
+        let held = |world: &World| -> Vec<usize> {
+            let agents = world.agents.iter().enumerate();
+            let holding = agents.filter(|(_, agent)| agent.target.flows.contains(&key));
+            holding.map(|(index, _)| index).collect()
+        };
+        let first = held(&world)[0];
+        world.advance(200);
+        world.caller_sends(1, syn(number, 1));
+        let answered = world.agents[first].target.sequence + 1;
+        let request = datagram(key.caller, key.service, ACK, 8, answered, 100);
+        world.caller_sends(1, request.clone());
+        let requests = |world: &World| world.agents[first].target.requests.len();
+        let before = requests(&world);
+        world.caller_sends(1, request);
+        assert_eq!(
+            requests(&world),
+            before + 1,
+            "flow {number}, held by {:?}",
+            held(&world)
+        );
+    }
+}
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -258,7 +258,7 @@
     let (lease, _held) = tokio::sync::watch::channel(None);
     tokio::spawn(registrar.clone().keep_entry(lease));
     tokio::spawn(registrar.follow_routes(RouteWatch::Always));
-    time::sleep(Duration::from_secs(60)).await;
+    time::sleep(Duration::from_mins(1)).await;
     let state = store.state.lock().unwrap();
     insta::assert_snapshot!({
         let names = ["lease", "write", "range", "keep", "read", "watch"];
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -83,6 +83,8 @@
 
 /// A target with slots and a queue, which hands back what it does not hold.
 pub struct ModelTarget {
+    /// Sequence number of its SYN+ACKs.
+    pub sequence: u32,
     pub capacity: usize,
     pub service_ms: u64,
     pub flows: Vec<FlowKey>,
@@ -96,6 +98,7 @@
 impl ModelTarget {
     fn new(capacity: usize, service_ms: u64) -> Self {
         Self {
+            sequence: 0,
             capacity,
             service_ms,
             flows: Vec::new(),
@@ -119,9 +122,17 @@
             if !self.flows.contains(&key) {
                 self.flows.push(key);
             }
-            return vec![datagram(key.service, key.caller, SYN | ACK, 0, 8, 0)];
+            return vec![datagram(
+                key.service,
+                key.caller,
+                SYN | ACK,
+                self.sequence,
+                8,
+                0,
+            )];
         }
-        if !self.flows.contains(&key) {
+        let is_answered = segment.acknowledged.wrapping_sub(self.sequence) < 1_000;
+        if !self.flows.contains(&key) || !is_answered {
             let mut returned = bytes.to_vec();
             returned[FLAGS] |= RETURNED;
             returned[PAD..PAD + 5].fill(0);
