Presume a target ready that sends packets, log requests, measure answers

Change: an agent that has restarted takes its target for ready once it sends packets. Each request is logged with the caller's identifier; histograms of answers and waits by the callers' address.

--- a/src/flow/packet.rs
+++ b/src/flow/packet.rs
@@ -160,6 +160,9 @@
     /// Reads what another process noted.
     fn read_hop(&self, datagram: &[u8]) -> Hop;
 
+    /// Identifier of the request whose head the packet's data begins with.
+    fn request_id<'a>(&self, datagram: &'a [u8]) -> Option<&'a str>;
+
     /// Notes `hop` in a packet and clears its mark of having been returned.
     fn write_hop(&self, datagram: &mut [u8], hop: Hop);
 
--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
-    agent_flows::{AgentFlow, AgentFlows, CallerPacket},
+    agent_flows::{AgentFlow, AgentFlows, Answer, CallerPacket},
     decision::Decision,
     notices::Notice,
     peering::Peering,
@@ -117,6 +117,11 @@
         self.route_version
     }
 
+    /// Answers that have begun since the last call.
+    pub fn answers(&mut self) -> Vec<Answer> {
+        self.flows.answers()
+    }
+
     /// Number of flows.
     #[must_use]
     pub fn flows(&self) -> usize {
@@ -124,11 +129,22 @@
     }
 
     pub(super) fn service(&self) -> Option<Arc<str>> {
-        self.target.current().map(|beat| Arc::clone(&beat.service))
+        self.target.service().map(Arc::clone)
     }
 
+    /// Requests that the target runs at once; those of its siblings until it has told its own.
     pub(super) fn capacity(&self) -> u32 {
-        self.target.current().map_or(1, |beat| beat.capacity)
+        if let Some(beat) = self.target.current() {
+            return beat.capacity;
+        }
+        let Some(service) = self.target.service() else {
+            return 1;
+        };
+        let directory = &self.peering.directory;
+        let members = directory.members().iter();
+        let siblings = members.filter(|m| m.serves(service) && !directory.is_own(m));
+        let capacities = siblings.map(|member| member.load.capacity);
+        capacities.min().unwrap_or(1).max(1)
     }
 
     /// Requests that the target has, and SYNs that wait for it.
@@ -161,12 +177,20 @@
             return self.syn(datagram, &segment, hop, now_ms);
         }
         match self.flows.caller(flow, &segment, now_ms) {
-            CallerPacket::Known => {
-                self.tell_entry(flow, hop);
-                AgentVerdict::Target
-            }
-            CallerPacket::Opened => {
-                self.tell_keepers(flow, now_ms);
+            CallerPacket::Known {
+                opens,
+                begins_request,
+            } => {
+                if begins_request {
+                    self.peering.decisions.push(Decision::Request {
+                        flow,
+                        request: self.format.request_id(datagram).map(Into::into),
+                        running: self.flows.running(),
+                    });
+                }
+                if opens {
+                    self.tell_keepers(flow, now_ms);
+                }
                 self.tell_entry(flow, hop);
                 AgentVerdict::Target
             }
@@ -179,7 +203,7 @@
         let Some(segment) = self.format.decode(datagram) else {
             return AgentVerdict::Drop;
         };
-        self.target.answered();
+        self.target.packet_sent(now_ms);
         if !segment.flags.returned {
             let flow = segment.target_flow();
             if self.flows.target(flow, &segment, now_ms) {
@@ -285,6 +309,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now_ms: u64) {
+        self.flows.set_capacity(self.capacity());
         let load = self.load(now_ms);
         let version = self.route_version;
         let own = self.peering.presence(version, Some(load.clone()), now_ms);
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -45,6 +45,8 @@
     caller_acknowledged: u32,
     /// Sequence number of the target's SYN+ACK.
     target_sequence: Option<u32>,
+    /// Time for which the SYN has waited, until the first answer.
+    waited_ms: u64,
 }
 
 impl AgentFlow {
@@ -105,10 +107,25 @@
 pub enum CallerPacket {
     /// The flow is not known here.
     Unknown,
-    /// The packet opens the flow at this target.
-    Opened,
-    /// The flow is known.
-    Known,
+    /// The flow is known; `opens` tells whether this packet opens it at this target, and
+    /// `begins_request` whether a request begins with its data.
+    Known {
+        /// The packet opens the flow.
+        opens: bool,
+        /// A request begins.
+        begins_request: bool,
+    },
+}
+
+/// An answer that has begun.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// The flow.
+    pub flow: FlowKey,
+    /// Time since the request came, in milliseconds.
+    pub took_ms: u64,
+    /// Time for which the flow's SYN has waited, in milliseconds.
+    pub waited_ms: u64,
 }
 
 /// All flows of the target.
@@ -118,6 +135,7 @@
     /// Flows whose callers have yet to answer, oldest first, with the time of the SYN.
     openings: VecDeque<(FlowKey, u64)>,
     requests: u32,
+    answers: Vec<Answer>,
     capacity: u32,
     service_time: ServiceTime,
 }
@@ -174,8 +192,13 @@
         open.map(|(&flow, _)| flow)
     }
 
-    /// Notes a SYN that is handed to the target.
-    pub fn syn(&mut self, flow: FlowKey, now_ms: u64) {
+    /// Answers that have begun since the last call.
+    pub fn answers(&mut self) -> Vec<Answer> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Notes a SYN that is handed to the target after it has waited for `waited_ms`.
+    pub fn syn(&mut self, flow: FlowKey, waited_ms: u64, now_ms: u64) {
         if self.flows.contains_key(&flow) {
             return;
         }
@@ -186,6 +209,7 @@
             next_sequence: 0,
             caller_acknowledged: 0,
             target_sequence: None,
+            waited_ms,
         };
         self.flows.insert(flow, entry);
         self.openings.push_back((flow, now_ms));
@@ -205,12 +229,14 @@
         if was_opening {
             entry.stage = Stage::Open;
         }
+        let mut begins_request = false;
         let end = segment.sequence.wrapping_add(u32::from(segment.data_len));
         let is_new = was_opening || is_after(end, entry.next_sequence);
         if segment.data_len > 0 && is_new {
             entry.next_sequence = end;
             if entry.request_at_ms.is_none() {
                 entry.request_at_ms = Some(now_ms);
+                begins_request = true;
                 self.service_time
                     .account(self.requests, self.capacity, now_ms);
                 self.requests += 1;
@@ -222,10 +248,9 @@
         if segment.flags.rst {
             self.remove(flow, now_ms);
         }
-        if was_opening {
-            CallerPacket::Opened
-        } else {
-            CallerPacket::Known
+        CallerPacket::Known {
+            opens: was_opening,
+            begins_request,
         }
     }
 
@@ -242,6 +267,7 @@
             next_sequence: segment.acknowledged,
             caller_acknowledged: segment.sequence,
             target_sequence: None,
+            waited_ms: 0,
         });
         if segment.flags.syn {
             entry.target_sequence = Some(segment.sequence);
@@ -251,7 +277,12 @@
             entry.stage = Stage::Closed;
         }
         let is_answer = segment.data_len > 0 || segment.flags.fin;
-        if is_answer && entry.request_at_ms.take().is_some() {
+        if is_answer && let Some(since_ms) = entry.request_at_ms.take() {
+            self.answers.push(Answer {
+                flow,
+                took_ms: now_ms.saturating_sub(since_ms),
+                waited_ms: std::mem::take(&mut entry.waited_ms),
+            });
             self.service_time
                 .account(self.requests, self.capacity, now_ms);
             self.service_time.answered(now_ms);
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -1,6 +1,6 @@
 //! Drives an agent: one task moves all packets.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use slog::{Logger, info};
 use tokio::time::{self, MissedTickBehavior};
@@ -15,11 +15,20 @@
     target::Target,
 };
 use crate::{
-    clock::Clock, control::store::LeasedStore, flow::packet::PacketFormat,
-    membership::instance::Instance, observe::counters::Event,
+    clock::Clock,
+    control::store::LeasedStore,
+    flow::packet::PacketFormat,
+    membership::instance::Instance,
+    observe::{
+        counters::Event,
+        metrics::{Metrics, RequestLabels},
+    },
 };
 
 const TICK_INTERVAL_MS: u64 = 20;
+/// Labels of measured requests: callers are not told apart, and only answers are measured.
+const ALL_CALLERS: &str = "all";
+const ANSWERED: &str = "answered";
 /// Time for which a stopping agent goes on forwarding what others still send to it.
 const LEAVE_GRACE_MS: u64 = 1_000;
 /// Time after which an agent that hears no balancer reach the store asks it itself.
@@ -35,6 +44,7 @@
     outbound: PacketSocket,
     target_address: SocketAddrV4,
     decisions: DecisionLog,
+    metrics: Metrics,
     clock: Clock,
     caller_port: u16,
     store_heard_at_ms: u64,
@@ -45,6 +55,7 @@
 impl<F: PacketFormat, L: Copy + Send + Sync + 'static> AgentNode<F, L> {
     /// Makes an agent; `outbound` takes the packets that its target sends.
     #[must_use]
+    #[allow(clippy::too_many_arguments)] // Each is a part that only the caller has.
     pub fn new(
         settings: &ForwardSettings,
         target: &TargetSettings,
@@ -52,17 +63,22 @@
         format: F,
         node: Node<L>,
         outbound: PacketSocket,
+        metrics: Metrics,
         log: Logger,
     ) -> Self {
         let clock = Clock::new();
         let now_ms = clock.now_ms();
         let seeds = settings.seeds.clone();
-        let beside = Target::new(target.heartbeat_interval_ms);
+        let mut beside = Target::new(target.heartbeat_interval_ms);
+        if let Some(service) = &target.service {
+            beside = beside.with_expected_service(Arc::clone(service), now_ms);
+        }
         Self {
             core: AgentCore::new(format, own, seeds, beside, now_ms),
             decisions: DecisionLog::new(log.clone(), node.counters.clone()),
             node,
             outbound,
+            metrics,
             target_address: target.address,
             clock,
             caller_port: settings.caller_port,
@@ -94,6 +110,7 @@
             }
             self.release();
             self.send_resets();
+            self.measure();
             self.node.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
             takes_packets = takes_packets || self.core.takes_packets(now_ms);
@@ -175,6 +192,22 @@
         }
     }
 
+    /// Records how long answers took, by the address that callers use.
+    fn measure(&mut self) {
+        for answer in self.core.answers() {
+            let class = answer.flow.service.to_string();
+            let labels = RequestLabels {
+                class: &class,
+                caller_group: ALL_CALLERS,
+                outcome: ANSWERED,
+            };
+            // Both are milliseconds and far below the precision of a float.
+            #[allow(clippy::cast_precision_loss)]
+            let (took_ms, waited_ms) = (answer.took_ms as f64, answer.waited_ms as f64);
+            self.metrics.record_request(labels, took_ms, waited_ms);
+        }
+    }
+
     fn at_caller(&self, mut caller: SocketAddrV4) -> SocketAddrV4 {
         caller.set_port(self.caller_port);
         caller
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -55,12 +55,12 @@
         {
             return self.wait(datagram, segment, hop, now_ms);
         }
-        self.admit(flow, hop, now_ms);
+        self.admit(flow, hop, 0, now_ms);
         AgentVerdict::Target
     }
 
-    fn admit(&mut self, flow: FlowKey, hop: Hop, now_ms: u64) {
-        self.flows.syn(flow, now_ms);
+    fn admit(&mut self, flow: FlowKey, hop: Hop, waited_ms: u64, now_ms: u64) {
+        self.flows.syn(flow, waited_ms, now_ms);
         self.target.syn_sent(now_ms);
         self.tell_entry(flow, hop);
     }
@@ -123,12 +123,13 @@
             let may_move = hop.tried + 1 < MAX_PLACEMENTS;
             let verdict = match self.format.decode(&syn.datagram) {
                 _ if is_free => {
+                    let waited_ms = now_ms.saturating_sub(syn.arrived_at_ms);
                     self.peering.decisions.push(Decision::Admitted {
                         flow: syn.flow,
-                        waited_ms: now_ms.saturating_sub(syn.arrived_at_ms),
+                        waited_ms,
                         running: self.flows.running(),
                     });
-                    self.admit(syn.flow, hop, now_ms);
+                    self.admit(syn.flow, hop, waited_ms, now_ms);
                     AgentVerdict::Target
                 }
                 Some(segment) if may_move => {
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -103,6 +103,15 @@
         /// Requests under way at the own target.
         running: u32,
     },
+    /// A request of a flow was given to the own target.
+    Request {
+        /// The flow.
+        flow: FlowKey,
+        /// The caller's name for the request.
+        request: Option<Arc<str>>,
+        /// Requests under way at the own target, this one included.
+        running: u32,
+    },
     /// A SYN was answered with a reset.
     Refused {
         /// The flow.
@@ -227,6 +236,7 @@
         Decision::PassedOn { .. } => Event::FlowPassedOn,
         Decision::Waits { .. } => Event::FlowWaits,
         Decision::Admitted { .. } => Event::FlowAdmitted,
+        Decision::Request { .. } => Event::RequestForwarded,
         Decision::Refused { .. } => Event::FlowRefused,
         Decision::Dropped { .. } => Event::DroppedUnroutable,
         Decision::LookedUp { .. } => Event::FlowLookedUp,
@@ -269,6 +279,13 @@
             running,
         } => info!(log, "flow admitted"; "flow" => %flow, "waited_ms" => waited_ms,
             "running" => running, "left_out" => left_out),
+        Decision::Request {
+            flow,
+            request,
+            running,
+        } => info!(log, "request forwarded"; "flow" => %flow,
+            "request" => request.as_deref().unwrap_or_default(), "running" => running,
+            "left_out" => left_out),
         Decision::Refused {
             flow,
             reason,
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddrV4,
     /// Takes the packets that the target sends.
     pub outbound_address: SocketAddrV4,
+    /// Service that the target belongs to, if it is known before its first heartbeat.
+    pub service: Option<Arc<str>>,
     /// Pause between two heartbeats of the target, in milliseconds.
     pub heartbeat_interval_ms: u64,
 }
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -6,6 +6,8 @@
 
 /// Heartbeat intervals after which a silent target counts as gone; one may be lost on the way.
 const SILENT_INTERVALS: u64 = 3;
+/// Heartbeat intervals in which a live target is heard by an agent that has restarted.
+const PRESUMED_INTERVALS: u64 = 2;
 /// Time in which a target answers a SYN, even a busy one, with room for a paused machine.
 const SYN_ANSWER_MS: u64 = 120;
 /// Unanswered SYNs from which on a target counts as unresponsive.
@@ -64,6 +66,10 @@
     unanswered_since_ms: Option<u64>,
     unanswered_syns: u32,
     tried_at_ms: u64,
+    /// Service that the settings name, until a heartbeat names one.
+    expected_service: Option<Arc<str>>,
+    started_at_ms: u64,
+    packet_at_ms: Option<u64>,
 }
 
 impl Target {
@@ -85,9 +91,39 @@
             unanswered_since_ms: None,
             unanswered_syns: 0,
             tried_at_ms: 0,
+            expected_service: None,
+            started_at_ms: 0,
+            packet_at_ms: None,
         }
     }
 
+    /// Sets the service that the target is expected to belong to. An agent that has restarted
+    /// beside a target which sends packets takes it for ready until the next heartbeat.
+    #[must_use]
+    pub fn with_expected_service(mut self, service: Arc<str>, now_ms: u64) -> Self {
+        self.expected_service = Some(service);
+        self.started_at_ms = now_ms;
+        self
+    }
+
+    /// The service that the target belongs to, as far as is known.
+    #[must_use]
+    pub fn service(&self) -> Option<&Arc<str>> {
+        match &self.current {
+            Some(beat) => Some(&beat.service),
+            None => self.expected_service.as_ref(),
+        }
+    }
+
+    /// Whether the target sends packets before its first heartbeat to this agent.
+    fn is_presumed_ready(&self, now_ms: u64) -> bool {
+        let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
+        self.current.is_none()
+            && self.expected_service.is_some()
+            && self.packet_at_ms.is_some()
+            && uptime_ms < PRESUMED_INTERVALS * self.heartbeat_interval_ms
+    }
+
     /// The last heartbeat that was taken.
     #[must_use]
     pub fn current(&self) -> Option<&Heartbeat> {
@@ -166,7 +202,12 @@
     }
 
     /// The target has sent a packet.
-    pub fn answered(&mut self) {
+    pub fn packet_sent(&mut self, now_ms: u64) {
+        self.packet_at_ms = Some(now_ms);
+        self.answered();
+    }
+
+    fn answered(&mut self) {
         self.unanswered_since_ms = None;
         self.unanswered_syns = 0;
     }
@@ -182,7 +223,11 @@
     #[must_use]
     pub fn state(&self, now_ms: u64) -> TargetState {
         let Some(beat) = &self.current else {
-            return TargetState::Unknown;
+            return if self.is_presumed_ready(now_ms) && !self.is_unresponsive(now_ms) {
+                TargetState::Ready
+            } else {
+                TargetState::Unknown
+            };
         };
         let silent_ms = now_ms.saturating_sub(self.heard_at_ms);
         if self.is_gone || beat.is_draining {
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -39,6 +39,8 @@
     FlowRefused => "flow_refused",
     /// A new flow was given to an agent.
     FlowPlaced => "flow_placed",
+    /// A request was given to the target beside the agent.
+    RequestForwarded => "request_forwarded",
     /// A SYN waits for a slot.
     FlowWaits => "flow_waits",
     /// A SYN that has waited was given to the target.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -4,6 +4,7 @@
 
 use bamboowind::{
     forward::syn_queue::{Pace, SynQueue, WaitingSyn},
+    membership::instance::TargetState,
     placement::{Candidate, cost_us},
 };
 use world::{ACK, SYN, World, datagram, flow, request, service_address, syn};
@@ -229,3 +230,21 @@
         .collect();
     insta::assert_snapshot!(costs.join("\n"));
 }
+
+/// All processes are killed while their targets live: new flows need not wait for heartbeats.
+#[test]
+fn a_target_that_sends_packets_takes_flows_before_its_next_heartbeat() {
+    let mut world = World::new(1, 3, 5, 20);
+    let holder = world.open(0, 1);
+    world.advance(10);
+    world.restart_balancer(0);
+    (0..3).for_each(|index| world.restart_agent(index));
+    world.advance(20);
+    let state = |world: &World| world.agents[holder].core.load(world.now_ms).state;
+    assert_eq!(state(&world), TargetState::Unknown);
+    world.caller_sends(0, request(1));
+    world.advance(50);
+    assert_eq!(state(&world), TargetState::Ready);
+    world.caller_sends(0, syn(2, 0));
+    assert!(world.agents[holder].target.flows.contains(&flow(2)));
+}
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -45,6 +45,24 @@
     assert_eq!(PlatformPacket.reset(example_flow(), 0), RESET_BYTES);
 }
 
+#[test]
+fn the_identifier_of_a_request_is_found_in_its_head() {
+    let packet = |data: &[u8]| [&SYN_BYTES, data].concat();
+    let cases: [(&[u8], Option<&str>); 5] = [
+        (
+            b"GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: f204\r\n\r\n",
+            Some("f204"),
+        ),
+        (b"GET / HTTP/1.1\r\nrequest-id:f204\r\n", Some("f204")),
+        (b"GET / HTTP/1.1\r\nRequest-Id: \r\n", None),
+        (b"\xff\xfe\nRequest-Id", None),
+        (b"", None),
+    ];
+    for (data, id) in cases {
+        assert_eq!(PlatformPacket.request_id(&packet(data)), id);
+    }
+}
+
 fn hops() -> impl Strategy<Value = Hop> {
     let lookups = prop::sample::select(vec![
         Lookup::Known,
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -411,6 +411,18 @@
     Scene::wait_for("readiness", || scene.is_ready(1) && scene.is_ready(2));
     scene.expect(1, 1_001, OPEN, SYN | ACK);
     scene.expect(1, 1_001, REQUEST, ACK);
+    Scene::wait_for("the request's line", || {
+        agents
+            .iter()
+            .any(|agent| agent.has_line("request forwarded"))
+    });
+    let metrics = [11, 12, 13].map(|host| {
+        let address = ip(scene.network, host);
+        get_text(&format!("http://{address}:7721/metrics"))
+            .unwrap()
+            .1
+    });
+    assert!(metrics.concat().contains("bamboowind_request_duration_ms"));
     // Another balancer, which has never seen the flow.
     scene.expect(2, 1_001, REQUEST, ACK);
     // The first balancer is killed and starts again with nothing.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -257,7 +257,7 @@
             host + 1,
             incarnation,
         );
-        let beside = Target::new(HEARTBEAT_MS);
+        let beside = Target::new(HEARTBEAT_MS).with_expected_service(SERVICE.into(), self.now_ms);
         let mut core = AgentCore::new(PlatformPacket, own.clone(), Vec::new(), beside, self.now_ms);
         core.members_read();
         ModelAgent {
