--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -203,8 +203,9 @@
         let Some(segment) = self.format.decode(datagram) else {
             return AgentVerdict::Drop;
         };
-        self.target.packet_sent(now_ms);
+        self.target.answered();
         if !segment.flags.returned {
+            self.target.packet_sent(now_ms);
             let flow = segment.target_flow();
             if self.flows.target(flow, &segment, now_ms) {
                 self.tell_keepers(flow, now_ms);
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -201,13 +201,13 @@
         self.tried_at_ms = now_ms;
     }
 
-    /// The target has sent a packet.
+    /// The target has sent a packet of a flow that it holds.
     pub fn packet_sent(&mut self, now_ms: u64) {
         self.packet_at_ms = Some(now_ms);
-        self.answered();
     }
 
-    fn answered(&mut self) {
+    /// The target has answered, if only by handing a packet back.
+    pub fn answered(&mut self) {
         self.unanswered_since_ms = None;
         self.unanswered_syns = 0;
     }
