--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration and membership: what processes must agree on, and how they learn it.
 
+pub mod backoff;
 pub mod commit;
 pub mod consul_store;
 pub mod inner_client;
--- a/src/control/watcher.rs
+++ b/src/control/watcher.rs
@@ -7,6 +7,7 @@
 use tokio::time;
 
 use super::{
+    backoff::Backoff,
     commit::current_policy,
     policy_cell::PolicyCell,
     store::{Revision, Store, StoreError, Versioned},
@@ -62,7 +63,7 @@
 impl<S: Store> Watcher<S> {
     /// Watches the store whenever no balancer that this one can hear reaches it.
     pub async fn run(self) {
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
         let mut is_reported = false;
         sleep_up_to(START_JITTER_MS).await;
         loop {
@@ -168,26 +169,3 @@
     let pause_ms = rand::rng().random_range(0..=longest_ms);
     time::sleep(Duration::from_millis(pause_ms)).await;
 }
-
-/// Pauses that double, with jitter.
-struct Backoff {
-    next_ms: u64,
-}
-
-impl Backoff {
-    fn new() -> Self {
-        Self {
-            next_ms: MIN_BACKOFF_MS,
-        }
-    }
-
-    fn reset(&mut self) {
-        self.next_ms = MIN_BACKOFF_MS;
-    }
-
-    async fn wait(&mut self) {
-        let pause_ms = rand::rng().random_range(self.next_ms / 2..=self.next_ms);
-        time::sleep(Duration::from_millis(pause_ms)).await;
-        self.next_ms = (self.next_ms * 2).min(MAX_BACKOFF_MS);
-    }
-}
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -6,11 +6,11 @@
 use std::{sync::Arc, time::Duration};
 
 use prost::Message;
-use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::{sync::mpsc, time};
 
 use crate::{
+    control::backoff::Backoff,
     control::store::{Changes, Entry, LeasedStore, LeasedWrite, StoreError},
     flow::routes::RouteTable,
     membership::instance::Instance,
@@ -86,7 +86,7 @@
 impl<S: LeasedStore, D: RouteDocument> Registrar<S, D> {
     /// Keeps the own entry and learns of the others, for ever.
     pub async fn keep_entry(self, lease: tokio::sync::watch::Sender<Option<S::Lease>>) {
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
         let mut contact = Contact::new("entry");
         loop {
             let result = self.register(&lease, &mut contact, &mut backoff).await;
@@ -159,7 +159,7 @@
 
     /// Follows the routes, for ever.
     pub async fn follow_routes(self, mut when: RouteWatch) {
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
         let mut contact = Contact::new("routes");
         loop {
             if let RouteWatch::WhenNeeded(needed) = &mut when {
@@ -273,27 +273,3 @@
         }
     }
 }
-
-/// Pauses that double and vary, so that processes do not return together.
-#[derive(Debug)]
-struct Backoff {
-    pause_ms: u64,
-}
-
-impl Backoff {
-    fn new() -> Self {
-        Self {
-            pause_ms: MIN_BACKOFF_MS,
-        }
-    }
-
-    fn reset(&mut self) {
-        self.pause_ms = MIN_BACKOFF_MS;
-    }
-
-    async fn wait(&mut self) {
-        let pause_ms = rand::rng().random_range(self.pause_ms / 2..=self.pause_ms);
-        self.pause_ms = (self.pause_ms * 2).min(MAX_BACKOFF_MS);
-        time::sleep(Duration::from_millis(pause_ms)).await;
-    }
-}
