--- a/src/control/backoff.rs
+++ b/src/control/backoff.rs
@@ -6,6 +6,7 @@
 use tokio::time;
 
 /// Pauses that double, with jitter.
+#[allow(clippy::struct_field_names)] // Fields carry their unit.
 #[derive(Debug)]
 pub struct Backoff {
     min_ms: u64,
