--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -8,7 +8,7 @@
 use super::{
     agent::{AgentCore, AgentVerdict},
     decision::DecisionLog,
-    node::{Command, Node},
+    links::{Command, Links},
     registrar::Learned,
     settings::{ForwardSettings, TargetSettings},
     socket::{MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
@@ -38,9 +38,9 @@
 
 /// An agent with its sockets.
 #[derive(Debug)]
-pub struct AgentNode<F: PacketFormat, L> {
+pub struct AgentDriver<F: PacketFormat, L> {
     core: AgentCore<F>,
-    node: Node<L>,
+    links: Links<L>,
     outbound: PacketSocket,
     target_address: SocketAddrV4,
     decisions: DecisionLog,
@@ -52,7 +52,7 @@
     log: Logger,
 }
 
-impl<F: PacketFormat, L: Copy + Send + Sync + 'static> AgentNode<F, L> {
+impl<F: PacketFormat, L: Copy + Send + Sync + 'static> AgentDriver<F, L> {
     /// Makes an agent; `outbound` takes the packets that its target sends.
     #[must_use]
     #[allow(clippy::too_many_arguments)] // Each is a part that only the caller has.
@@ -61,7 +61,7 @@
         target: &TargetSettings,
         own: Instance,
         format: F,
-        node: Node<L>,
+        links: Links<L>,
         outbound: PacketSocket,
         metrics: Metrics,
         log: Logger,
@@ -75,8 +75,8 @@
         }
         Self {
             core: AgentCore::new(format, own, seeds, beside, now_ms),
-            decisions: DecisionLog::new(log.clone(), node.counters.clone()),
-            node,
+            decisions: DecisionLog::new(log.clone(), links.counters.clone()),
+            links,
             outbound,
             metrics,
             target_address: target.address,
@@ -97,11 +97,11 @@
         let mut takes_packets = false;
         while self.clock.now_ms() < ends_at_ms {
             tokio::select! {
-                _ = self.node.packets.readable(), if takes_packets => self.read_inner(&mut buffer),
+                _ = self.links.packets.readable(), if takes_packets => self.read_inner(&mut buffer),
                 _ = self.outbound.readable() => self.read_target(&mut buffer),
-                _ = self.node.control.readable() => self.read_notices(&mut buffer),
-                Some(learned) = self.node.learned.recv() => self.learn(learned),
-                Some(command) = self.node.commands.recv() => {
+                _ = self.links.control.readable() => self.read_notices(&mut buffer),
+                Some(learned) = self.links.learned.recv() => self.learn(learned),
+                Some(command) = self.links.commands.recv() => {
                     if self.obey(command) && ends_at_ms == u64::MAX {
                         ends_at_ms = self.clock.now_ms() + LEAVE_GRACE_MS;
                     }
@@ -111,13 +111,13 @@
             self.release();
             self.send_resets();
             self.measure();
-            self.node.send_notices(&mut self.core.peering.outbox);
+            self.links.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
             takes_packets = takes_packets || self.core.takes_packets(now_ms);
             self.decisions
                 .record(&mut self.core.peering.decisions, now_ms);
         }
-        self.node.end_entry(&store, &self.log).await;
+        self.links.end_entry(&store, &self.log).await;
     }
 
     /// Obeys a command. Returns whether it asks to stop.
@@ -142,7 +142,7 @@
     fn read_inner(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
         let now_ms = self.clock.now_ms();
         for _ in 0..MAX_BATCH {
-            let Some((len, _)) = self.node.packets.receive(buffer) else {
+            let Some((len, _)) = self.links.packets.receive(buffer) else {
                 return;
             };
             let verdict = self.core.inner_packet(&mut buffer[..len], now_ms);
@@ -165,21 +165,21 @@
         match verdict {
             AgentVerdict::Target => {
                 self.outbound.send(datagram, self.target_address);
-                self.node.counters.count(Event::PacketForwarded);
+                self.links.counters.count(Event::PacketForwarded);
             }
             AgentVerdict::Instance(address) => {
-                self.node.packets.send(datagram, address);
-                self.node.counters.count(Event::PacketForwarded);
+                self.links.packets.send(datagram, address);
+                self.links.counters.count(Event::PacketForwarded);
             }
             AgentVerdict::Caller(caller) => {
-                self.node.packets.send(datagram, self.at_caller(caller));
-                self.node.counters.count(Event::PacketReturned);
+                self.links.packets.send(datagram, self.at_caller(caller));
+                self.links.counters.count(Event::PacketReturned);
             }
             AgentVerdict::Reset(caller, reset) => {
-                self.node
+                self.links
                     .packets
                     .send(reset.as_ref(), self.at_caller(caller));
-                self.node.counters.count(Event::ResetSent);
+                self.links.counters.count(Event::ResetSent);
             }
             AgentVerdict::Drop => {}
         }
@@ -215,17 +215,17 @@
 
     fn send_resets(&mut self) {
         for (caller, reset) in self.core.resets() {
-            self.node
+            self.links
                 .packets
                 .send(reset.as_ref(), self.at_caller(caller));
-            self.node.counters.count(Event::ResetSent);
+            self.links.counters.count(Event::ResetSent);
         }
     }
 
     fn read_notices(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
         let now_ms = self.clock.now_ms();
         let core = &mut self.core;
-        self.node
+        self.links
             .read_notices(buffer, |from, notice| core.notice(from, notice, now_ms));
     }
 
@@ -242,7 +242,7 @@
                 }
             }
             Learned::Routes(routes) => {
-                if self.node.keep_routes(&routes) {
+                if self.links.keep_routes(&routes) {
                     self.core
                         .set_routes(routes.version(), routes.idle_timeout_ms());
                 }
@@ -253,13 +253,13 @@
     fn tick(&mut self, is_running: bool) {
         let now_ms = self.clock.now_ms();
         self.core.tick(now_ms);
-        self.node
+        self.links
             .set_ready(is_running && self.core.is_ready(now_ms));
         if self.core.peering.hears_of_store(now_ms) {
             self.store_heard_at_ms = now_ms;
         }
         let silent_ms = now_ms.saturating_sub(self.store_heard_at_ms);
-        self.node.set_store_needed(silent_ms > STORE_SILENCE_MS);
+        self.links.set_store_needed(silent_ms > STORE_SILENCE_MS);
         self.fetch_newer_routes(now_ms);
     }
 
@@ -272,7 +272,7 @@
         let since_ms = *self.newer_since_ms.get_or_insert(now_ms);
         if now_ms.saturating_sub(since_ms) >= FETCH_DELAY_MS {
             self.newer_since_ms = Some(now_ms);
-            self.node.fetch_routes(address);
+            self.links.fetch_routes(address);
         }
     }
 }
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -26,6 +26,8 @@
 const PASS_ON_PERCENT: u64 = 80;
 
 impl<F: PacketFormat> AgentCore<F> {
+    /// Decides on a SYN: the target gets it if a slot is free, another target if that one is
+    /// better by far; otherwise it waits.
     pub(super) fn syn(
         &mut self,
         datagram: &mut [u8],
--- a/src/forward/balancer_run.rs
+++ b/src/forward/balancer_run.rs
@@ -8,7 +8,7 @@
 use super::{
     balancer::{BalancerCore, Verdict},
     decision::DecisionLog,
-    node::{Command, Node},
+    links::{Command, Links},
     registrar::Learned,
     rotation::Rotation,
     settings::ForwardSettings,
@@ -23,9 +23,9 @@
 
 /// A balancer with its sockets.
 #[derive(Debug)]
-pub struct BalancerNode<F, L> {
+pub struct BalancerDriver<F, L> {
     core: BalancerCore<F>,
-    node: Node<L>,
+    links: Links<L>,
     decisions: DecisionLog,
     rotation: Rotation,
     clock: Clock,
@@ -33,21 +33,21 @@
     log: Logger,
 }
 
-impl<F: PacketFormat, L: Copy + Send + Sync + 'static> BalancerNode<F, L> {
+impl<F: PacketFormat, L: Copy + Send + Sync + 'static> BalancerDriver<F, L> {
     /// Makes a balancer.
     #[must_use]
     pub fn new(
         settings: &ForwardSettings,
         own: Instance,
         format: F,
-        node: Node<L>,
+        links: Links<L>,
         log: Logger,
     ) -> Self {
         let clock = Clock::new();
         Self {
             core: BalancerCore::new(format, own, settings.seeds.clone(), clock.now_ms()),
-            decisions: DecisionLog::new(log.clone(), node.counters.clone()),
-            node,
+            decisions: DecisionLog::new(log.clone(), links.counters.clone()),
+            links,
             rotation: Rotation::new(),
             clock,
             caller_port: settings.caller_port,
@@ -63,10 +63,10 @@
         let mut takes_packets = false;
         while !self.rotation.is_over(self.clock.now_ms()) {
             tokio::select! {
-                _ = self.node.packets.readable(), if takes_packets => self.forward(&mut buffer),
-                _ = self.node.control.readable() => self.read_notices(&mut buffer),
-                Some(learned) = self.node.learned.recv() => self.learn(learned),
-                Some(command) = self.node.commands.recv() => {
+                _ = self.links.packets.readable(), if takes_packets => self.forward(&mut buffer),
+                _ = self.links.control.readable() => self.read_notices(&mut buffer),
+                Some(learned) = self.links.learned.recv() => self.learn(learned),
+                Some(command) = self.links.commands.recv() => {
                     if matches!(command, Command::Stop) {
                         info!(self.log, "stopping"; "flows" => self.core.flows());
                         self.rotation.stop(self.clock.now_ms());
@@ -75,7 +75,7 @@
                 }
                 _ = ticks.tick() => self.tick(),
             }
-            self.node.send_notices(&mut self.core.peering.outbox);
+            self.links.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
             takes_packets = takes_packets || self.core.takes_packets(now_ms);
             self.decisions
@@ -83,26 +83,26 @@
         }
         let version = self.core.routes().version();
         self.core.peering.leave(version, None, self.clock.now_ms());
-        self.node.send_notices(&mut self.core.peering.outbox);
-        self.node.end_entry(&store, &self.log).await;
+        self.links.send_notices(&mut self.core.peering.outbox);
+        self.links.end_entry(&store, &self.log).await;
     }
 
     fn forward(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
         let now_ms = self.clock.now_ms();
         for _ in 0..MAX_BATCH {
-            let Some((len, _)) = self.node.packets.receive(buffer) else {
+            let Some((len, _)) = self.links.packets.receive(buffer) else {
                 return;
             };
             match self.core.caller_packet(&mut buffer[..len], now_ms) {
                 Verdict::Send(agent) => {
-                    self.node.packets.send(&buffer[..len], agent);
-                    self.node.counters.count(Event::PacketForwarded);
+                    self.links.packets.send(&buffer[..len], agent);
+                    self.links.counters.count(Event::PacketForwarded);
                 }
                 Verdict::Reset(caller, reset) => {
                     let mut to = caller;
                     to.set_port(self.caller_port);
-                    self.node.packets.send(reset.as_ref(), to);
-                    self.node.counters.count(Event::ResetSent);
+                    self.links.packets.send(reset.as_ref(), to);
+                    self.links.counters.count(Event::ResetSent);
                 }
                 Verdict::Drop => {}
             }
@@ -112,7 +112,7 @@
     fn read_notices(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
         let now_ms = self.clock.now_ms();
         let core = &mut self.core;
-        self.node
+        self.links
             .read_notices(buffer, |from, notice| core.notice(from, notice, now_ms));
     }
 
@@ -127,7 +127,7 @@
                 }
             }
             Learned::Routes(routes) => {
-                if self.node.keep_routes(&routes) {
+                if self.links.keep_routes(&routes) {
                     self.core.set_routes(Arc::clone(&routes));
                     let version = routes.version();
                     self.core.peering.tell_all(version, None, now_ms);
@@ -151,7 +151,7 @@
         if is_ready != was_ready {
             info!(self.log, "readiness changed"; "is_ready" => is_ready, "can_leave" => can_leave);
         }
-        self.node.set_ready(is_ready);
+        self.links.set_ready(is_ready);
         let version = self.core.routes().version();
         let is_in_rotation = self.rotation.is_in_rotation(now_ms);
         if self.core.peering.set_in_rotation(is_in_rotation) {
@@ -159,7 +159,7 @@
         }
         self.core.tick(now_ms);
         if let Some((address, _)) = self.core.peering.newer_routes(version, now_ms) {
-            self.node.fetch_routes(address);
+            self.links.fetch_routes(address);
         }
     }
 }
--- a/src/forward/node.rs
+++ b/src/forward/links.rs
@@ -90,7 +90,7 @@
 
 /// The outside of a process: what its driver reads from and writes to.
 #[derive(Debug)]
-pub struct Node<L> {
+pub struct Links<L> {
     /// Takes flows' packets.
     pub packets: PacketSocket,
     /// Takes notices.
@@ -109,7 +109,7 @@
     fetching: Option<tokio::task::JoinHandle<()>>,
 }
 
-impl<L: Copy + Send + Sync + 'static> Node<L> {
+impl<L: Copy + Send + Sync + 'static> Links<L> {
     /// Binds the sockets and starts the tasks.
     ///
     /// # Errors
@@ -162,7 +162,7 @@
             commands: commands_in,
             is_ready: Arc::clone(&is_ready),
         };
-        let node = Self {
+        let links = Self {
             packets,
             control,
             commands,
@@ -175,7 +175,7 @@
             news,
             fetching: None,
         };
-        Ok((node, handle))
+        Ok((links, handle))
     }
 
     /// Says whether packets can be forwarded.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -11,7 +11,7 @@
 pub mod balancer;
 pub mod balancer_run;
 pub mod decision;
-pub mod node;
+pub mod links;
 pub mod notices;
 pub mod peering;
 pub mod registrar;
