--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -72,11 +72,6 @@
             .retain(|_, entry| now_ms.saturating_sub(entry.used_at_ms) < idle_ms);
     }
 
-    /// Forgets the flows of one owner.
-    pub fn forget_owner(&mut self, owner: SocketAddrV4) {
-        self.entries.retain(|_, entry| entry.owner != owner);
-    }
-
     /// Number of flows.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -143,12 +143,6 @@
             .binary_search_by(|member| (*member.instance.name).cmp(name))
     }
 
-    /// The member with a name.
-    #[must_use]
-    pub fn get(&self, name: &str) -> Option<&Member> {
-        self.find(name).ok().map(|index| &self.members[index])
-    }
-
     /// The member that receives packets at `address`.
     #[must_use]
     pub fn by_packet_address(&self, address: SocketAddrV4) -> Option<&Member> {
