Do not wait for agents without a target before a lost flow is reset

The new log line 'search incomplete' names the awaited agent: side-bkk-non-1, whose target had left before all power was lost. The agent had started again beside nothing and was taken away 2.6 s later; silent agents were awaited for 15 s. Ruled out: an instance of the store's list that is never heard (every one was heard).

Change: an agent that hears of no target for two heartbeat intervals says so (state Absent); silent agents whose target was absent, or draining without flows, are not awaited.

Test: an_agent_without_a_target_is_not_waited_for (failed first).

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -103,10 +103,18 @@
                 Some(first)
             }
         });
-        let hears_all = service
+        let awaited = service
             .as_deref()
-            .is_some_and(|name| directory.hears_all_agents(name, now_ms));
-        let is_incomplete = hop.is_incomplete || !hears_all || !self.knows_members;
+            .and_then(|name| directory.awaited_agent(name, now_ms));
+        let is_incomplete = hop.is_incomplete || awaited.is_some() || !self.knows_members;
+        if is_incomplete && !hop.is_incomplete {
+            let decision = Decision::SearchIncomplete {
+                flow,
+                awaited: awaited.map(|member| Arc::clone(&member.instance.name)),
+                silent_ms: awaited.map_or(0, |member| member.load_age_ms(now_ms)),
+            };
+            self.peering.decisions.push(decision);
+        }
         let tried = hop.tried.saturating_add(1);
         if let Some(next) = next
             && tried <= MAX_WALK
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -137,6 +137,15 @@
         /// Agents that were tried before.
         tried: u8,
     },
+    /// The search for a flow cannot prove that nobody holds it, so that its caller gets no reset.
+    SearchIncomplete {
+        /// The flow.
+        flow: FlowKey,
+        /// A silent agent that may hold it; `None` if the store has not told of the agents yet.
+        awaited: Option<Arc<str>>,
+        /// How long that agent has been silent, in milliseconds.
+        silent_ms: u64,
+    },
     /// The owner of a flow was learned.
     OwnerLearned {
         /// The flow.
@@ -240,6 +249,7 @@
         Decision::Refused { .. } => Event::FlowRefused,
         Decision::Dropped { .. } => Event::DroppedUnroutable,
         Decision::LookedUp { .. } => Event::FlowLookedUp,
+        Decision::SearchIncomplete { .. } => Event::FlowSearchIncomplete,
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::FlowLost { .. } => Event::FlowLost,
         Decision::Member { .. } | Decision::Forgotten { .. } => Event::MemberChanged,
@@ -296,6 +306,13 @@
             "reason" => reason.name(), "left_out" => left_out),
         Decision::LookedUp { flow, agent, tried } => info!(log, "flow looked up";
             "flow" => %flow, "agent" => &*agent, "tried" => tried, "left_out" => left_out),
+        Decision::SearchIncomplete {
+            flow,
+            awaited,
+            silent_ms,
+        } => info!(log, "search incomplete"; "flow" => %flow,
+            "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
+            "left_out" => left_out),
         Decision::OwnerLearned { flow, owner } => info!(log, "flow owner learned";
             "flow" => %flow, "owner" => %owner, "left_out" => left_out),
         Decision::FlowLost { flow } => warn!(log, "flow lost with its target"; "flow" => %flow,
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -124,6 +124,13 @@
             && uptime_ms < PRESUMED_INTERVALS * self.heartbeat_interval_ms
     }
 
+    /// Whether no target has shown itself since the agent's start: one that is running would have
+    /// sent a heartbeat by now.
+    fn is_absent(&self, now_ms: u64) -> bool {
+        let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
+        self.packet_at_ms.is_none() && uptime_ms > PRESUMED_INTERVALS * self.heartbeat_interval_ms
+    }
+
     /// The last heartbeat that was taken.
     #[must_use]
     pub fn current(&self) -> Option<&Heartbeat> {
@@ -225,6 +232,8 @@
         let Some(beat) = &self.current else {
             return if self.is_presumed_ready(now_ms) && !self.is_unresponsive(now_ms) {
                 TargetState::Ready
+            } else if self.is_absent(now_ms) {
+                TargetState::Absent
             } else {
                 TargetState::Unknown
             };
@@ -249,7 +258,7 @@
             TargetState::Unresponsive => {
                 !self.is_gone && now_ms.saturating_sub(self.tried_at_ms) >= RETRY_INTERVAL_MS
             }
-            TargetState::Unknown | TargetState::Draining => false,
+            TargetState::Unknown | TargetState::Draining | TargetState::Absent => false,
         }
     }
 }
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -80,6 +80,12 @@
         self.instance.role == InstanceRole::Agent && self.load.service.as_deref() == Some(service)
     }
 
+    /// Whether the agent's target had no flows when it was last heard of and took no new ones.
+    fn holds_no_flows(&self) -> bool {
+        matches!(self.load.state, TargetState::Draining | TargetState::Absent)
+            && self.load.flows == 0
+    }
+
     /// Age of the load, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
@@ -359,22 +365,24 @@
         weight(flow_hash, name_hash(&self.own_name))
     }
 
-    /// Whether every agent that may hold flows of `service` is heard now.
+    /// An agent that may hold flows of `service` and is not heard now, if there is one.
     ///
     /// An agent that is silent may come back with its target's flows.
     #[must_use]
-    pub fn hears_all_agents(&self, service: &str, now_ms: u64) -> bool {
-        self.members.iter().all(|member| {
+    pub fn awaited_agent(&self, service: &str, now_ms: u64) -> Option<&Member> {
+        self.members.iter().find(|member| {
             let silent_ms = now_ms.saturating_sub(member.heard_at_ms);
             let is_agent = member.instance.role == InstanceRole::Agent;
             let may_serve = member.load.service.is_none() || member.serves(service);
             if !is_agent || !may_serve || member.is_leaving {
-                return true;
+                return false;
             }
             if member.is_confirmed {
-                member.is_alive(now_ms) || silent_ms > RETURN_WITHIN_MS
+                !member.is_alive(now_ms)
+                    && !member.holds_no_flows()
+                    && silent_ms <= RETURN_WITHIN_MS
             } else {
-                silent_ms > APPEAR_WITHIN_MS
+                silent_ms <= APPEAR_WITHIN_MS
             }
         })
     }
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -87,6 +87,8 @@
     Draining,
     /// The target does not answer.
     Unresponsive,
+    /// The agent has not heard of any target since its start, for longer than heartbeats take.
+    Absent,
 }
 
 /// How busy a target is.
@@ -119,6 +121,7 @@
                 TargetState::Ready => wire::TargetState::Ready,
                 TargetState::Draining => wire::TargetState::Draining,
                 TargetState::Unresponsive => wire::TargetState::Unresponsive,
+                TargetState::Absent => wire::TargetState::Absent,
             }
             .into(),
             service: service.map(ToString::to_string).unwrap_or_default(),
@@ -139,6 +142,7 @@
                 wire::TargetState::Ready => TargetState::Ready,
                 wire::TargetState::Draining => TargetState::Draining,
                 wire::TargetState::Unresponsive => TargetState::Unresponsive,
+                wire::TargetState::Absent => TargetState::Absent,
             },
             service: Some(message.service.as_str())
                 .filter(|service| !service.is_empty())
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -49,6 +49,8 @@
     FlowPassedOn => "flow_passed_on",
     /// A packet of an unknown flow was sent to an agent that may know it.
     FlowLookedUp => "flow_looked_up",
+    /// A search for a flow could not ask every agent that may hold it.
+    FlowSearchIncomplete => "flow_search_incomplete",
     /// The owner of a flow was learned.
     FlowOwnerLearned => "flow_owner_learned",
     /// An open flow was ended because its target is gone.
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -221,6 +221,8 @@
     Draining = 2,
     /// The target does not answer.
     Unresponsive = 3,
+    /// The agent has not heard of any target since its start.
+    Absent = 4,
 }
 impl TargetState {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -233,6 +235,7 @@
             Self::Ready => "READY",
             Self::Draining => "DRAINING",
             Self::Unresponsive => "UNRESPONSIVE",
+            Self::Absent => "ABSENT",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -242,6 +245,7 @@
             "READY" => Some(Self::Ready),
             "DRAINING" => Some(Self::Draining),
             "UNRESPONSIVE" => Some(Self::Unresponsive),
+            "ABSENT" => Some(Self::Absent),
             _ => None,
         }
     }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -80,6 +80,28 @@
     );
 }
 
+/// After a loss of power an agent starts again beside a target that has left, and is taken away.
+#[test]
+fn an_agent_without_a_target_is_not_waited_for() {
+    let mut world = World::new(2, 4, 5, 20);
+    let holder = world.open(0, 1);
+    let empty = (holder + 1) % 4;
+    world.restart_agent(empty);
+    world.agents[empty].target.is_silent = true;
+    world.restart_target(holder);
+    world.restart_agent(holder);
+    world.advance(3_000);
+    world.agents[empty].is_up = false;
+    world.advance(1_500);
+    world.restart_balancer(0);
+    world.advance(300);
+    world.caller_sends(0, request(1));
+    assert!(
+        world.was_reset(1),
+        "no agent that may hold the flow is away"
+    );
+}
+
 #[test]
 fn flows_of_a_restarted_target_are_reset_at_once() {
     let mut world = World::new(1, 3, 5, 20);
