Let watches of the routes wait for ten seconds again

The varied wait of the last change made four more calls a minute and broke the test that counts them; nothing had shown that it is needed, since keep-alive probes end a silent connection within three seconds.

--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -6,7 +6,6 @@
 use std::{sync::Arc, time::Duration};
 
 use prost::Message;
-use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::{sync::mpsc, time};
 
@@ -25,10 +24,8 @@
 const LEASE_TTL_MS: u64 = 30_000;
 /// Pause between two renewals, a third of the lifetime.
 const RENEW_INTERVAL_MS: u64 = 10_000;
-/// Shortest and longest wait of a watch. The waits vary, because all watches return together at a
-/// change: connections that fall silent at one moment would hide the next change until they end.
-const MIN_WATCH_WAIT_MS: u64 = 4_000;
-const MAX_WATCH_WAIT_MS: u64 = 10_000;
+/// Longest wait of a watch.
+const WATCH_WAIT_MS: u64 = 10_000;
 /// Pause between two looks whether an agent must ask the store itself.
 const LOOK_INTERVAL_MS: u64 = 500;
 /// Shortest and longest pause after a failed call. The longest lets an entry that has lapsed come
@@ -195,10 +192,9 @@
             {
                 return Ok(());
             }
-            let wait_ms = rand::rng().random_range(MIN_WATCH_WAIT_MS..=MAX_WATCH_WAIT_MS);
             let watching = self
                 .store
-                .watch_prefix(self.document.key(), revision, wait_ms);
+                .watch_prefix(self.document.key(), revision, WATCH_WAIT_MS);
             match self.called(watching).await? {
                 Changes::HistoryLost => {
                     info!(self.log, "history of the store is lost; reading the routes again";
