Let agents ask each other for free slots, and keep control traffic from growing with the square

Change: an agent sends at most 700 reports and 150 presences a second in all, so the interval grows with the receivers; a presence says when the next one comes. A balancer compares eight targets. An agent where a SYN waits asks four siblings for a slot; one with a free slot, now or within 40 ms, keeps it for the asker. Requests beyond the slots are admitted after 4 ms without such a slot: as many as end during a handshake, and one. A target that has stopped answering shows in its service time before its next answer, gets no requests beyond its slots, and SYNs that cannot wait for it are passed on instead of refused.

Tests: slot_requests (the model of 16 balancers before 24 targets with two slots: 30 % wait with requests for slots, 46 % without).

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -9,7 +9,8 @@
     agent_flows::{AgentFlow, AgentFlows, Answer, CallerPacket},
     decision::Decision,
     notices::Notice,
-    peering::Peering,
+    peering::{PRESENCE_INTERVAL_MS, Peering},
+    slot_requests::SlotRequests,
     syn_queue::SynQueue,
     target::{Change, Heartbeat, Target},
 };
@@ -23,8 +24,6 @@
 
 /// Time after the start in which others are still being learned of.
 const LEARNING_MS: u64 = 500;
-/// Shortest pause between two reports of the load.
-const LOAD_INTERVAL_MS: u64 = 20;
 /// Pause between two sweeps of the tables.
 const SWEEP_INTERVAL_MS: u64 = 500;
 /// Time for which an owner is kept without news; the owner repeats itself earlier.
@@ -65,6 +64,7 @@
     pub(super) swept_at_ms: u64,
     pub(super) lost: Vec<(FlowKey, AgentFlow)>,
     pub(super) waiting: SynQueue,
+    pub(super) slots: SlotRequests,
     pub(super) released: Vec<(Vec<u8>, AgentVerdict<F::Reset>)>,
 }
 
@@ -94,6 +94,7 @@
             swept_at_ms: now_ms,
             lost: Vec::new(),
             waiting: SynQueue::new(),
+            slots: SlotRequests::new(),
             released: Vec::new(),
         }
     }
@@ -299,6 +300,8 @@
                     self.owners.insert(flow, owner, now_ms);
                 }
             }
+            Notice::SlotRequest => self.slots.request(from, now_ms),
+            Notice::SlotGrant => self.use_grant(from, now_ms),
             Notice::Members(instances) => {
                 for instance in instances {
                     let load = Some(self.load(now_ms));
@@ -326,12 +329,18 @@
             self.tell_now(now_ms);
         }
         self.peering.tick(version, Some(load.clone()), now_ms);
-        let is_due = now_ms.saturating_sub(self.told_load_at_ms) >= LOAD_INTERVAL_MS;
-        if is_due && load.running != self.told_load.running {
+        let told_ago_ms = now_ms.saturating_sub(self.told_load_at_ms);
+        let is_due = told_ago_ms >= self.peering.load_interval_ms(&load, now_ms);
+        // The report also says that this agent lives.
+        let is_changed = load.running != self.told_load.running;
+        if is_due && (is_changed || told_ago_ms >= PRESENCE_INTERVAL_MS) {
             self.peering.tell_load(&load, now_ms);
             self.told_load = load;
             self.told_load_at_ms = now_ms;
         }
+        if !self.waiting.is_empty() {
+            self.request_slots(now_ms);
+        }
         self.repeat_flows(now_ms);
         if now_ms.saturating_sub(self.swept_at_ms) >= SWEEP_INTERVAL_MS {
             self.swept_at_ms = now_ms;
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -20,6 +20,9 @@
 const SAMPLE_LEN: u64 = 8;
 /// Weight of the newest sample in the mean, as one part in so many.
 const MEAN_WEIGHT: u64 = 3;
+/// Time without an answer, as a multiple of the mean time of a request, from which on a target with
+/// requests counts as stalled: work times vary by less, and all slots seldom take long together.
+const STALLED_FACTOR: u64 = 3;
 /// Time after which a mean without new samples says nothing any more.
 const MEAN_LIFE_MS: u64 = 3_000;
 
@@ -71,6 +74,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceTime {
     slot_ms: u64,
+    /// Slot time since the last answer.
+    silent_slot_ms: u64,
     answers: u64,
     accounted_at_ms: u64,
     mean_us: u64,
@@ -80,11 +85,30 @@
 impl ServiceTime {
     fn account(&mut self, requests: u32, capacity: u32, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.accounted_at_ms);
-        self.slot_ms += u64::from(requests.min(capacity)) * elapsed_ms;
+        let slot_ms = u64::from(requests.min(capacity)) * elapsed_ms;
+        self.slot_ms += slot_ms;
+        self.silent_slot_ms += slot_ms;
         self.accounted_at_ms = now_ms;
     }
 
+    /// Mean time of a request in microseconds, 0 if there is none of late. A target that has
+    /// stopped answering shows in the slot time of its requests before they are answered.
+    fn mean_us(&self, requests: u32, capacity: u32, now_ms: u64) -> u64 {
+        let is_stale = now_ms.saturating_sub(self.sampled_at_ms) > MEAN_LIFE_MS;
+        let known_us = if is_stale { 0 } else { self.mean_us };
+        let elapsed_ms = now_ms.saturating_sub(self.accounted_at_ms);
+        let slots = u64::from(requests.min(capacity));
+        let silent_slot_ms = self.silent_slot_ms + slots * elapsed_ms;
+        let under_way_us = silent_slot_ms * 1_000 / slots.max(1);
+        if under_way_us > self.mean_us * STALLED_FACTOR && self.mean_us > 0 {
+            under_way_us
+        } else {
+            known_us
+        }
+    }
+
     fn answered(&mut self, now_ms: u64) {
+        self.silent_slot_ms = 0;
         self.answers += 1;
         if self.answers < SAMPLE_LEN {
             return;
@@ -179,11 +203,10 @@
     /// Mean service time in microseconds; 0 if there is none of late.
     #[must_use]
     pub fn service_time_us(&self, now_ms: u64) -> u32 {
-        let age_ms = now_ms.saturating_sub(self.service_time.sampled_at_ms);
-        if age_ms > MEAN_LIFE_MS {
-            return 0;
-        }
-        u32::try_from(self.service_time.mean_us).unwrap_or(u32::MAX)
+        let mean_us = self
+            .service_time
+            .mean_us(self.requests, self.capacity, now_ms);
+        u32::try_from(mean_us).unwrap_or(u32::MAX)
     }
 
     /// Open flows.
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -111,7 +111,7 @@
             let decision = Decision::SearchIncomplete {
                 flow,
                 awaited: awaited.map(|member| Arc::clone(&member.instance.name)),
-                silent_ms: awaited.map_or(0, |member| member.load_age_ms(now_ms)),
+                silent_ms: awaited.map_or(0, |member| member.silent_ms(now_ms)),
             };
             self.peering.decisions.push(decision);
         }
--- a/src/forward/agent_run.rs
+++ b/src/forward/agent_run.rs
@@ -186,7 +186,9 @@
     }
 
     fn release(&mut self) {
-        self.core.release(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        self.core.release(now_ms);
+        self.core.grant_slots(now_ms);
         for (datagram, verdict) in self.core.released() {
             self.carry_out(&datagram, verdict);
         }
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -1,11 +1,12 @@
 //! New flows at an agent: given to the target, left to wait, passed on or refused.
 
-use std::sync::Arc;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
     agent::{AgentCore, AgentVerdict},
     decision::{Decision, Reason},
-    syn_queue::{Pace, WaitingSyn},
+    notices::Notice,
+    syn_queue::{HANDSHAKE_MS, Pace, WaitingSyn},
 };
 use crate::{
     flow::packet::{FlowKey, Hop, PacketFormat, Segment},
@@ -19,9 +20,21 @@
 
 /// Agents that a SYN is offered to at most.
 const MAX_PLACEMENTS: u8 = 3;
-/// Requests beyond the slots that are admitted, as a part of the slots: a handshake takes some
-/// seven milliseconds of forty.
-const OVERCOMMIT_PERCENT: u32 = 25;
+/// Agents that a SYN is given to at most, with those that kept a slot for it.
+const MAX_GRANTS: u8 = 16;
+/// Age of a sibling's report up to which it tells which slots are free: about one service time.
+const MAX_REPORT_AGE_MS: u64 = 40;
+/// The same where the other's report is older.
+const PASS_ON_STALE_PERCENT: u64 = 50;
+/// Time in which a sibling with a free slot answers a request for it, with room for a paused
+/// process: a round trip between failure domains takes two milliseconds.
+const GRANT_WAIT_MS: u64 = 4;
+/// Requests beyond those expected to end during a handshake that are admitted to a busy target, so
+/// that its slots are not idle when some end early.
+const SPARE_REQUESTS: u32 = 1;
+/// Service time, as a multiple of the service's usual one, from which on a target gets no requests
+/// beyond its slots: it has stalled.
+const STALLED_FACTOR: u64 = 3;
 /// Part of the own cost at which another target is better by more than the hop is worth, percent.
 const PASS_ON_PERCENT: u64 = 80;
 
@@ -36,6 +49,9 @@
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
+        if hop.tried > 0 {
+            self.slots.grant_used();
+        }
         let service = self.service();
         let is_ours = service
             .as_deref()
@@ -53,7 +69,7 @@
             return self.pass_on(datagram, segment, hop, false, now_ms);
         }
         if !self.flows.contains(flow)
-            && (!self.waiting.is_empty() || self.flows.running() >= self.admitted())
+            && (!self.waiting.is_empty() || self.flows.running() >= self.capacity())
         {
             return self.wait(datagram, segment, hop, now_ms);
         }
@@ -70,7 +86,7 @@
     /// Lets a SYN wait for a slot, or refuses it if none will be free in time.
     fn wait(
         &mut self,
-        datagram: &[u8],
+        datagram: &mut [u8],
         segment: &Segment,
         hop: Hop,
         now_ms: u64,
@@ -86,7 +102,11 @@
             priority: hop.priority,
         };
         let pace = self.pace(now_ms);
-        if self.waiting.push(syn, now_ms, pace).is_err() {
+        let is_refused = self.waiting.push(syn, now_ms, pace).is_err();
+        if is_refused && hop.tried + 1 < MAX_PLACEMENTS {
+            return self.pass_on(datagram, segment, hop, false, now_ms);
+        }
+        if is_refused {
             let reason = Reason::NoSlotInTime {
                 waiting: self.waiting.len(),
                 service_ms: pace.service_ms,
@@ -99,6 +119,7 @@
             waiting: self.waiting.len(),
         });
         self.tell_entry(segment.caller_flow(), hop);
+        self.request_slots(now_ms);
         AgentVerdict::Drop
     }
 
@@ -113,7 +134,8 @@
         });
         self.peering.decisions.extend(ended);
         while !self.waiting.is_empty() {
-            let is_free = self.target.takes_syn(now_ms) && self.flows.running() < self.admitted();
+            let is_free =
+                self.target.takes_syn(now_ms) && self.flows.running() < self.admitted(now_ms);
             if !is_free && !self.is_free_elsewhere(now_ms) {
                 return;
             }
@@ -147,6 +169,59 @@
         }
     }
 
+    /// Asks some siblings for a slot while SYNs wait, again and again.
+    pub(super) fn request_slots(&mut self, now_ms: u64) {
+        let Some(service) = self.service() else {
+            return;
+        };
+        let siblings = self.slots.asked(&self.peering.directory, &service, now_ms);
+        for sibling in siblings {
+            self.peering.outbox.push(sibling, Notice::SlotRequest);
+        }
+    }
+
+    /// Keeps free slots of the own target for the siblings that have asked.
+    pub fn grant_slots(&mut self, now_ms: u64) {
+        if self.target.state(now_ms) != TargetState::Ready || !self.waiting.is_empty() {
+            return;
+        }
+        let free = self.capacity().saturating_sub(self.busy());
+        while let Some(sibling) = self.slots.grant(free, now_ms) {
+            self.peering.outbox.push(sibling, Notice::SlotGrant);
+        }
+    }
+
+    /// Gives a SYN that waits to a sibling that keeps a slot for it.
+    pub(super) fn use_grant(&mut self, from: SocketAddrV4, now_ms: u64) {
+        let Some(sibling) = self.peering.directory.by_control_address(from) else {
+            return;
+        };
+        let name = Arc::clone(&sibling.instance.name);
+        let address = sibling.instance.packet_address;
+        let pace = self.pace(now_ms);
+        let Some(mut syn) = self.waiting.take(now_ms, pace) else {
+            return;
+        };
+        let hop = self.format.read_hop(&syn.datagram);
+        let hop = Hop {
+            tried: hop.tried + 1,
+            ..hop
+        };
+        if hop.tried >= MAX_GRANTS {
+            self.waiting.put_back(syn);
+            return;
+        }
+        self.format.write_hop(&mut syn.datagram, hop);
+        self.peering.decisions.push(Decision::PassedOn {
+            flow: syn.flow,
+            agent: name,
+            is_returned: false,
+            running: self.busy(),
+        });
+        let verdict = AgentVerdict::Instance(address);
+        self.released.push((syn.datagram, verdict));
+    }
+
     /// SYNs that have waited, with what happens to them now.
     pub fn released(&mut self) -> Vec<(Vec<u8>, AgentVerdict<F::Reset>)> {
         std::mem::take(&mut self.released)
@@ -161,7 +236,7 @@
             member.serves(&service)
                 && !self.peering.directory.is_own(member)
                 && member.load.state == TargetState::Ready
-                && member.is_alive(now_ms)
+                && member.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS
                 && member.load.running + member.placed_since_report < member.load.capacity
         })
     }
@@ -173,13 +248,17 @@
         let Some(other) = self.other_target(&service, flow, now_ms) else {
             return false;
         };
+        let percent = if other.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS {
+            PASS_ON_PERCENT
+        } else {
+            PASS_ON_STALE_PERCENT
+        };
         let is_remote = other.instance.failure_domain != self.peering.own().failure_domain;
         let theirs = Candidate::new(&other.load, other.placed_since_report, is_remote);
         let load = self.load(now_ms);
         let ours = Candidate::new(&load, 0, false);
-        let usual_us = u64::from(load.service_time_us.max(1));
-        placement::cost_us(&theirs, usual_us) * 100
-            < placement::cost_us(&ours, usual_us) * PASS_ON_PERCENT
+        let usual_us = placement::usual_service_time_us(&self.peering.directory, &service);
+        placement::cost_us(&theirs, usual_us) * 100 < placement::cost_us(&ours, usual_us) * percent
     }
 
     fn other_target(&self, service: &str, flow: FlowKey, now_ms: u64) -> Option<&Member> {
@@ -264,11 +343,23 @@
         AgentVerdict::Reset(flow.caller, self.format.reset(flow, 0))
     }
 
-    /// Requests that the target may have at once, those included whose callers have yet to send
-    /// them: the slots would be idle during the handshake.
-    fn admitted(&self) -> u32 {
+    /// Requests that the target may have at once. When no sibling has granted a slot, those whose
+    /// callers have yet to send them come on top: the slots would be idle during the handshake.
+    fn admitted(&self, now_ms: u64) -> u32 {
         let capacity = self.capacity();
-        capacity + (capacity * OVERCOMMIT_PERCENT).div_ceil(100)
+        if self.waiting.longest_wait_ms(now_ms) < GRANT_WAIT_MS {
+            return capacity;
+        }
+        let service_ms = self.pace(now_ms).service_ms.max(1);
+        let usual_us = self.service().map_or(0, |service| {
+            placement::usual_service_time_us(&self.peering.directory, &service)
+        });
+        if service_ms * 1_000 >= usual_us * STALLED_FACTOR {
+            return capacity;
+        }
+        let ending = (u64::from(capacity) * HANDSHAKE_MS).div_ceil(service_ms);
+        let ending = u32::try_from(ending).unwrap_or(u32::MAX).min(capacity);
+        capacity + ending + SPARE_REQUESTS
     }
 
     fn pace(&self, now_ms: u64) -> Pace {
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -150,7 +150,7 @@
         let earlier = earlier.and_then(|owner| directory.by_packet_address(owner));
         if let Some(earlier) = earlier
             && earlier.is_alive(now_ms)
-            && earlier.load_age_ms(now_ms) <= COPY_TRUST_MS
+            && earlier.silent_ms(now_ms) <= COPY_TRUST_MS
         {
             let owner = earlier.instance.packet_address;
             self.note_new(datagram, flow, &service);
@@ -258,6 +258,8 @@
                         .push(Decision::OwnerLearned { flow, owner });
                 }
             }
+            // Only agents grant slots to each other.
+            Notice::SlotRequest | Notice::SlotGrant => {}
             Notice::Members(instances) => {
                 for instance in instances {
                     self.peering.learn(instance, version, None, now_ms);
--- a/src/forward/links.rs
+++ b/src/forward/links.rs
@@ -240,8 +240,15 @@
 
     /// Sends the notices that wait.
     pub fn send_notices(&self, outbox: &mut Outbox) {
+        // Many receivers get the same notice in a row.
+        let mut last: Option<(Notice, Vec<u8>)> = None;
         for (to, notice) in outbox.drain() {
-            self.control.send(&notice.encode(), to);
+            let bytes = match last.take() {
+                Some((same, bytes)) if same == notice => bytes,
+                _ => notice.encode(),
+            };
+            self.control.send(&bytes, to);
+            last = Some((notice, bytes));
         }
     }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod rotation;
 pub mod route_fetch;
 pub mod settings;
+pub mod slot_requests;
 pub mod socket;
 pub mod syn_queue;
 pub mod target;
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -31,6 +31,10 @@
     },
     /// Instances that the sender knows.
     Members(Vec<Instance>),
+    /// New flows wait at the sender for a slot.
+    SlotRequest,
+    /// A free slot of the sender's target, kept for the receiver alone.
+    SlotGrant,
 }
 
 impl Notice {
@@ -47,6 +51,7 @@
                 load: presence.load.as_ref().map(|load| load.to_message(true)),
                 reaches_store: presence.reaches_store,
                 is_in_rotation: presence.is_in_rotation,
+                next_within_ms: presence.next_within_ms,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
             Self::FlowOwner { owner, flows } => Body::FlowOwner(wire::FlowOwner {
@@ -57,6 +62,8 @@
             Self::Members(instances) => Body::Members(wire::Members {
                 instances: instances.iter().map(Instance::to_message).collect(),
             }),
+            Self::SlotRequest => Body::SlotRequest(wire::SlotRequest {}),
+            Self::SlotGrant => Body::SlotGrant(wire::SlotGrant {}),
         };
         wire::Notice { body: Some(body) }.encode_to_vec()
     }
@@ -74,6 +81,7 @@
                     load: presence.load.as_ref().map(TargetLoad::from_message),
                     reaches_store: presence.reaches_store,
                     is_in_rotation: presence.is_in_rotation,
+                    next_within_ms: presence.next_within_ms,
                 }),
                 presence.wants_members,
             ),
@@ -82,6 +90,8 @@
                 owner: address(notice.owner_ip, notice.owner_port)?,
                 flows: notice.flows.iter().filter_map(flow_key).collect(),
             },
+            Body::SlotRequest(_) => Self::SlotRequest,
+            Body::SlotGrant(_) => Self::SlotGrant,
             Body::Members(members) => {
                 let instances = members.instances.iter();
                 Self::Members(instances.filter_map(Instance::from_message).collect())
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -7,13 +7,20 @@
     notices::{Notice, Outbox},
 };
 use crate::membership::{
-    directory::{Directory, MemberChange},
+    directory::{Directory, Member, MemberChange},
     instance::{Instance, InstanceRole, Presence, TargetLoad},
 };
 
-/// Pause between two presences; [`crate::membership::directory::SUSPECT_AFTER_MS`] allows for
-/// three lost ones.
+/// Shortest pause between two presences; [`crate::membership::directory::SUSPECT_AFTER_MS`] allows
+/// for three lost ones.
 pub const PRESENCE_INTERVAL_MS: u64 = 200;
+/// Presences a second that a process sends at most: with more instances each is told less often,
+/// and the traffic of a process does not grow with their number.
+const PRESENCES_PER_S: u64 = 150;
+/// Shortest pause between two reports of the load.
+const LOAD_INTERVAL_MS: u64 = 20;
+/// Reports of the load a second that an agent sends at most, to all receivers together.
+const LOADS_PER_S: u64 = 700;
 /// Pause between two requests for the instances that others know.
 const MEMBERS_INTERVAL_MS: u64 = 2_000;
 /// Time after the start in which others are asked at every presence.
@@ -103,9 +110,33 @@
             load,
             reaches_store: self.reaches_store(now_ms),
             is_in_rotation: self.is_in_rotation && !self.is_leaving,
+            next_within_ms: u32::try_from(self.presence_interval_ms()).unwrap_or(u32::MAX),
         }
     }
 
+    /// Pause between two presences, in milliseconds.
+    fn presence_interval_ms(&self) -> u64 {
+        let others = self.directory.members().len() as u64;
+        PRESENCE_INTERVAL_MS.max(others * 1_000 / PRESENCES_PER_S)
+    }
+
+    /// Pause between two reports of the load, in milliseconds.
+    #[must_use]
+    pub fn load_interval_ms(&self, load: &TargetLoad, now_ms: u64) -> u64 {
+        let receivers = self.load_receivers(load, now_ms).count() as u64;
+        let spread_ms = receivers * 1_000 / LOADS_PER_S;
+        spread_ms.clamp(LOAD_INTERVAL_MS, PRESENCE_INTERVAL_MS)
+    }
+
+    /// Those who place flows on the own target.
+    fn load_receivers(&self, load: &TargetLoad, now_ms: u64) -> impl Iterator<Item = &Member> {
+        self.directory.members().iter().filter(move |member| {
+            let places = member.instance.role == InstanceRole::Balancer
+                || member.load.service == load.service;
+            places && member.is_alive(now_ms) && !self.directory.is_own(member)
+        })
+    }
+
     /// Says whether the fabric sends callers' packets here. Returns whether that is new.
     pub fn set_in_rotation(&mut self, is_in_rotation: bool) -> bool {
         std::mem::replace(&mut self.is_in_rotation, is_in_rotation) != is_in_rotation
@@ -122,7 +153,7 @@
         let is_due = |at_ms: Option<u64>, interval_ms: u64| {
             at_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= interval_ms)
         };
-        if is_due(self.told_at_ms, PRESENCE_INTERVAL_MS) {
+        if is_due(self.told_at_ms, self.presence_interval_ms()) {
             self.tell_all(route_version, load, now_ms);
         }
         if now_ms.saturating_sub(self.swept_at_ms) >= SWEEP_INTERVAL_MS {
@@ -237,13 +268,10 @@
 
     /// Sends the load to those who place flows on the target.
     pub fn tell_load(&mut self, load: &TargetLoad, now_ms: u64) {
-        for member in self.directory.members() {
-            let places = member.instance.role == InstanceRole::Balancer
-                || member.load.service == load.service;
-            if places && member.is_alive(now_ms) && !self.directory.is_own(member) {
-                let notice = Notice::Load(load.clone());
-                self.outbox.push(member.instance.control_address, notice);
-            }
+        let receivers = self.load_receivers(load, now_ms);
+        let addresses: Vec<_> = receivers.map(|m| m.instance.control_address).collect();
+        for address in addresses {
+            self.outbox.push(address, Notice::Load(load.clone()));
         }
     }
 
--- a/src/forward/syn_queue.rs
+++ b/src/forward/syn_queue.rs
@@ -11,7 +11,7 @@
 /// SYNs that wait at most; more cannot be served before their attempts end.
 const MAX_WAITING: usize = 512;
 /// Time between a SYN and its request at the target: two trips to the caller and back.
-const HANDSHAKE_MS: u64 = 8;
+pub const HANDSHAKE_MS: u64 = 8;
 
 /// A SYN that waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -83,6 +83,15 @@
         self.waiting.is_empty()
     }
 
+    /// How long the SYN that came first has waited, in milliseconds.
+    #[must_use]
+    pub fn longest_wait_ms(&self, now_ms: u64) -> u64 {
+        let arrivals = self.waiting.iter().map(|syn| syn.arrived_at_ms);
+        arrivals
+            .min()
+            .map_or(0, |at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     /// Whether a flow's SYN waits.
     #[must_use]
     pub fn contains(&self, flow: FlowKey) -> bool {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -7,8 +7,11 @@
     rendezvous::{name_hash, tag, weight},
 };
 
-/// Silence after which an instance gets no new flows and keeps no owners: three presences lost.
+/// Silence after which an instance gets no new flows and keeps no owners, at the least: three
+/// presences lost, at the shortest interval.
 pub const SUSPECT_AFTER_MS: u64 = 700;
+/// The same as a part of the interval in which the instance tells of itself, in percent.
+const SUSPECT_AFTER_PERCENT: u64 = 350;
 /// Time for which an instance that has left is expected back from a restart.
 const RESTART_MS: u64 = 2_000;
 /// Silence after which an instance is forgotten; longer than a freeze or a cut is likely to last.
@@ -43,6 +46,9 @@
     pub load: TargetLoad,
     /// Flows placed there since its last report.
     pub placed_since_report: u32,
+    reported_at_ms: u64,
+    /// Silence after which it is not believed to live, in milliseconds.
+    suspect_after_ms: u64,
     name_hash: u64,
 }
 
@@ -60,6 +66,8 @@
             reached_store_at_ms: None,
             load: TargetLoad::default(),
             placed_since_report: 0,
+            reported_at_ms: now_ms,
+            suspect_after_ms: SUSPECT_AFTER_MS,
         }
     }
 
@@ -67,7 +75,7 @@
     #[must_use]
     pub fn is_alive(&self, now_ms: u64) -> bool {
         let trust_ms = if self.is_confirmed {
-            SUSPECT_AFTER_MS
+            self.suspect_after_ms
         } else {
             HEARSAY_TRUST_MS
         };
@@ -89,6 +97,12 @@
     /// Age of the load, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.reported_at_ms)
+    }
+
+    /// Time since the instance was heard of, in milliseconds.
+    #[must_use]
+    pub fn silent_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.heard_at_ms)
     }
 }
@@ -225,6 +239,8 @@
         member.heard_at_ms = now_ms;
         member.route_version = presence.route_version;
         member.is_in_rotation = presence.is_in_rotation;
+        let expected_ms = u64::from(presence.next_within_ms) * SUSPECT_AFTER_PERCENT / 100;
+        member.suspect_after_ms = expected_ms.max(SUSPECT_AFTER_MS);
         if presence.reaches_store {
             member.reached_store_at_ms = Some(now_ms);
         }
@@ -236,7 +252,7 @@
             self.epoch += 1;
         }
         match presence.load {
-            Some(load) => self.take_load(index, load).or(change),
+            Some(load) => self.take_load(index, load, now_ms).or(change),
             None => change,
         }
     }
@@ -262,10 +278,10 @@
             service,
             ..load.clone()
         };
-        self.take_load(index, load)
+        self.take_load(index, load, now_ms)
     }
 
-    fn take_load(&mut self, index: usize, load: TargetLoad) -> Option<MemberChange> {
+    fn take_load(&mut self, index: usize, load: TargetLoad, now_ms: u64) -> Option<MemberChange> {
         let member = &mut self.members[index];
         let is_changed = member.load.state != load.state || member.load.service != load.service;
         if member.load.service != load.service {
@@ -274,9 +290,17 @@
         let state = load.state;
         member.load = load;
         member.placed_since_report = 0;
+        member.reported_at_ms = now_ms;
         is_changed.then_some(MemberChange::Target(state))
     }
 
+    /// The member that takes notices at `address`.
+    #[must_use]
+    pub fn by_control_address(&self, address: SocketAddrV4) -> Option<&Member> {
+        let mut members = self.members.iter();
+        members.find(|member| member.instance.control_address == address)
+    }
+
     /// Counts a flow that was placed on an agent before its next report.
     pub fn count_placed(&mut self, name: &str) {
         if let Ok(index) = self.find(name) {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -171,4 +171,6 @@
     pub reaches_store: bool,
     /// The fabric sends callers' packets to the sender.
     pub is_in_rotation: bool,
+    /// Time within which the sender tells the receiver of itself again, in milliseconds.
+    pub next_within_ms: u32,
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -23,6 +23,10 @@
 /// open uses a slot a few hundredths of the time.
 const IDLE_FLOW_PERCENT: u64 = 3;
 
+/// Targets that are compared for a flow. With more, all balancers that compare the same reports
+/// choose the same target until the next one.
+const MAX_COMPARED: u64 = 8;
+
 /// A target that a flow may be placed on.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -116,19 +120,29 @@
             && request.excluded != Some(&*member.instance.name)
     };
     let usual_us = usual_service_time_us(directory, request.service);
-    let rotation = usize::try_from(request.hash % 64).unwrap_or_default();
-    let members = directory.members().iter().filter(takes_flows).enumerate();
-    members
-        .min_by_key(|(index, member)| {
+    let members: Vec<&Member> = directory.members().iter().filter(takes_flows).collect();
+    sample(request.hash, members.len())
+        .filter_map(|index| members.get(index))
+        .min_by_key(|member| {
             let is_remote = *member.instance.failure_domain != *request.failure_domain;
             let candidate = Candidate::new(&member.load, member.placed_since_report, is_remote);
-            (cost_us(&candidate, usual_us), (index + rotation) % 64)
+            cost_us(&candidate, usual_us)
         })
-        .map(|(_, member)| member)
+        .copied()
+}
+
+/// The places of the targets that are compared, of `len`, in an order that `hash` draws.
+fn sample(hash: u64, len: usize) -> impl Iterator<Item = usize> {
+    let len = len as u64;
+    let (first, step) = (hash % len.max(1), 1 + (hash >> 32) % len.max(1));
+    let step = if len <= MAX_COMPARED { 1 } else { step };
+    (0..len.min(MAX_COMPARED))
+        .filter_map(move |number| usize::try_from((first + number * step) % len).ok())
 }
 
 /// The middle one of the service times that targets report, in microseconds.
-fn usual_service_time_us(directory: &Directory, service: &str) -> u64 {
+#[must_use]
+pub fn usual_service_time_us(directory: &Directory, service: &str) -> u64 {
     let serving = directory.members().iter().filter(|m| m.serves(service));
     let reported = serving.map(|member| u64::from(member.load.service_time_us));
     let mut sorted: Vec<u64> = reported.filter(|&time_us| time_us > 0).collect();
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -2,7 +2,7 @@
 /// Body of one datagram on the control address.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Notice {
-    #[prost(oneof = "notice::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "notice::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<notice::Body>,
 }
 /// Nested message and enum types in `Notice`.
@@ -21,6 +21,12 @@
         /// The sender tells which other instances it knows.
         #[prost(message, tag = "4")]
         Members(super::Members),
+        /// An agent asks for a slot of the receiver's target.
+        #[prost(message, tag = "5")]
+        SlotRequest(super::SlotRequest),
+        /// An agent keeps a free slot of its target for the receiver.
+        #[prost(message, tag = "6")]
+        SlotGrant(super::SlotGrant),
     }
 }
 /// One instance as it describes itself.
@@ -72,6 +78,9 @@
     /// The fabric sends callers' packets to the sender; only from balancers.
     #[prost(bool, tag = "7")]
     pub is_in_rotation: bool,
+    /// Time within which the sender tells the receiver of itself again, in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub next_within_ms: u32,
 }
 /// How busy a target is.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -98,6 +107,14 @@
     #[prost(uint32, tag = "7")]
     pub cold_left_ms: u32,
 }
+/// New flows wait at the sender for a slot.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SlotRequest {
+}
+/// A free slot of the sender's target, kept for the receiver alone.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SlotGrant {
+}
 /// Flows that one agent's target holds.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FlowOwner {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -178,6 +178,10 @@
     pub now_ms: u64,
     pub balancers: Vec<BalancerCore<PlatformPacket>>,
     pub agents: Vec<ModelAgent>,
+    /// Step of the clock.
+    pub tick_ms: u64,
+    /// Whether agents keep free slots for siblings that ask.
+    pub grants_slots: bool,
     /// Packets that callers got, with their time.
     pub received: Vec<(u64, SocketAddrV4, u8)>,
     capacity: usize,
@@ -222,6 +226,8 @@
             now_ms: 1_000,
             balancers: Vec::new(),
             agents: Vec::new(),
+            tick_ms: TICK_MS,
+            grants_slots: true,
             received: Vec::new(),
             capacity,
             service_ms,
@@ -321,12 +327,14 @@
     pub fn advance(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         while self.now_ms < end_ms {
-            if self.now_ms % HEARTBEAT_MS < TICK_MS {
+            if self.now_ms % HEARTBEAT_MS < self.tick_ms {
                 (0..self.agents.len()).for_each(|index| self.heartbeat(index));
             }
-            self.now_ms += TICK_MS;
+            self.now_ms += self.tick_ms;
             let now_ms = self.now_ms;
-            self.tell_of_all();
+            if now_ms % TICK_MS < self.tick_ms {
+                self.tell_of_all();
+            }
             for core in &mut self.balancers {
                 core.tick(now_ms);
             }
@@ -438,6 +446,9 @@
 
     fn release(&mut self, index: usize) {
         self.agents[index].core.release(self.now_ms);
+        if self.grants_slots {
+            self.agents[index].core.grant_slots(self.now_ms);
+        }
         for (bytes, verdict) in self.agents[index].core.released() {
             self.carry_out(index, bytes, verdict);
         }
