--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -510,7 +510,16 @@
     assert_eq!(refused["reason"], "no_route");
     assert_eq!(refused["flow"], format!("{from}>{unknown}"));
     agent.signal("-HUP");
-    Scene::wait_for("the settings", || agent.has_line("settings read again"));
+    let reads = || {
+        let lines = agent.lines().into_iter();
+        lines.filter(|line| line["msg"] == "settings read again").count()
+    };
+    Scene::wait_for("the settings", || reads() == 1);
+    // The file is replaced without a signal.
+    let path = scene.folder.path().join("agent-11.toml");
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, text.replace("heartbeat_ms = 200", "heartbeat_ms = 300")).unwrap();
+    Scene::wait_for("the settings", || reads() == 2);
 }
 
 #[test]
