Continue a search past agents whose targets have ended

Change: such an agent passes the packet on itself. Test: a_search_passes_agents_whose_targets_have_ended (failed first).

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -195,7 +195,7 @@
                 self.tell_entry(flow, hop);
                 AgentVerdict::Target
             }
-            CallerPacket::Unknown => self.unknown(datagram, flow, hop, now_ms),
+            CallerPacket::Unknown => self.unknown(datagram, &segment, hop, now_ms),
         }
     }
 
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -21,14 +21,15 @@
 
 impl<F: PacketFormat> AgentCore<F> {
     /// A packet of a flow that the target does not hold, as far as is known: the owner gets it,
-    /// or the target is asked by handing it the packet.
+    /// or the target is asked by handing it the packet. One that has ended could not hand it back.
     pub(super) fn unknown(
         &mut self,
         datagram: &mut [u8],
-        flow: FlowKey,
+        segment: &Segment,
         hop: Hop,
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
+        let flow = segment.caller_flow();
         if hop.lookup == Lookup::Registry
             && let Some(owner) = self.owners.owner(flow, now_ms)
             && owner != self.peering.own().packet_address
@@ -40,6 +41,9 @@
             self.format.write_hop(datagram, hop);
             return AgentVerdict::Instance(owner);
         }
+        if self.target.has_ended(now_ms) {
+            return self.walk(datagram, segment, hop, now_ms);
+        }
         AgentVerdict::Target
     }
 
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -124,6 +124,13 @@
             && uptime_ms < PRESUMED_INTERVALS * self.heartbeat_interval_ms
     }
 
+    /// Whether the target has said that it ends, or none has shown itself for long, so that no
+    /// packet can be handed to it.
+    #[must_use]
+    pub fn has_ended(&self, now_ms: u64) -> bool {
+        self.is_gone || self.current.is_none() && self.is_absent(now_ms)
+    }
+
     /// Whether no target has shown itself since the agent's start: one that is running would have
     /// sent a heartbeat by now.
     fn is_absent(&self, now_ms: u64) -> bool {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -102,6 +102,29 @@
     );
 }
 
+/// The search for a flow goes on past an agent whose target has ended.
+#[test]
+fn a_search_passes_agents_whose_targets_have_ended() {
+    let mut world = World::new(2, 6, 5, 20);
+    let holders: Vec<usize> = (0..30).map(|number| world.open(0, number)).collect();
+    let holder = holders[0];
+    world.advance(100);
+    world.restart_agent(holder);
+    // Nobody remembers the flow, and the other targets have left.
+    for index in (0..6).filter(|index| *index != holder) {
+        world.agents[index].target.is_silent = true;
+        world.restart_agent(index);
+    }
+    world.advance(1_500);
+    (0..2).for_each(|index| world.restart_balancer(index));
+    world.advance(600);
+    let held = (0..30).zip(&holders).filter(|(_, other)| **other == holder);
+    for (number, _) in held {
+        world.caller_sends(1, request(number));
+        assert_eq!(world.requests(number), 1, "flow {number}");
+    }
+}
+
 #[test]
 fn flows_of_a_restarted_target_are_reset_at_once() {
     let mut world = World::new(1, 3, 5, 20);
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -512,13 +512,19 @@
     agent.signal("-HUP");
     let reads = || {
         let lines = agent.lines().into_iter();
-        lines.filter(|line| line["msg"] == "settings read again").count()
+        lines
+            .filter(|line| line["msg"] == "settings read again")
+            .count()
     };
     Scene::wait_for("the settings", || reads() == 1);
     // The file is replaced without a signal.
     let path = scene.folder.path().join("agent-11.toml");
     let text = std::fs::read_to_string(&path).unwrap();
-    std::fs::write(&path, text.replace("heartbeat_ms = 200", "heartbeat_ms = 300")).unwrap();
+    std::fs::write(
+        &path,
+        text.replace("heartbeat_ms = 200", "heartbeat_ms = 300"),
+    )
+    .unwrap();
     Scene::wait_for("the settings", || reads() == 2);
 }
 
