--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -7,9 +7,10 @@
 
 use super::{
     agent_flows::{AgentFlow, AgentFlows, Answer, CallerPacket},
+    agent_lookup::AskedPacket,
     decision::Decision,
     notices::Notice,
-    peering::{PRESENCE_INTERVAL_MS, Peering},
+    peering::{LOAD_WITHIN_MS, Peering},
     slot_requests::SlotRequests,
     syn_queue::SynQueue,
     target::{Change, Heartbeat, Target},
@@ -65,6 +66,7 @@
     pub(super) lost: Vec<(FlowKey, AgentFlow)>,
     pub(super) waiting: SynQueue,
     pub(super) slots: SlotRequests,
+    pub(super) asked: Vec<AskedPacket>,
     pub(super) released: Vec<(Vec<u8>, AgentVerdict<F::Reset>)>,
 }
 
@@ -95,6 +97,7 @@
             lost: Vec::new(),
             waiting: SynQueue::new(),
             slots: SlotRequests::new(),
+            asked: Vec::new(),
             released: Vec::new(),
         }
     }
@@ -216,6 +219,7 @@
         let hop = self.format.read_hop(datagram);
         let flow = segment.caller_flow();
         self.flows.remove(flow, now_ms);
+        self.asked.retain(|packet| packet.flow != flow);
         if segment.opens_flow() {
             return self.pass_on(datagram, &segment, hop, true, now_ms);
         }
@@ -333,7 +337,7 @@
         let is_due = told_ago_ms >= self.peering.load_interval_ms(&load, now_ms);
         // The report also says that this agent lives.
         let is_changed = load.running != self.told_load.running;
-        if is_due && (is_changed || told_ago_ms >= PRESENCE_INTERVAL_MS) {
+        if is_due && (is_changed || told_ago_ms >= u64::from(LOAD_WITHIN_MS)) {
             self.peering.tell_load(&load, now_ms);
             self.told_load = load;
             self.told_load_at_ms = now_ms;
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     flow::packet::{FlowKey, Hop, Lookup, PacketFormat, Segment},
-    membership::rendezvous::flow_hash,
+    membership::{instance::TargetState, rendezvous::flow_hash},
 };
 
 /// Agents that a packet of an unknown flow is offered to at most; all of a service of today's
@@ -16,9 +16,21 @@
 const MAX_WALK: u8 = 64;
 /// Agents that keep the owner of each flow, so that one may be lost.
 const KEEPERS: usize = 2;
+/// Time in which a target hands a packet back, with room for a busy machine.
+const TARGET_ANSWER_MS: u64 = 30;
+/// Packets that a target has been asked about at most, while it is not known whether there is one.
+const MAX_ASKED: usize = 256;
 /// Pause between two repetitions of all open flows to their keepers.
 const REPEAT_INTERVAL_MS: u64 = 10_000;
 
+/// A packet of an unknown flow that was handed to a target which has not shown itself yet.
+#[derive(Clone, Debug)]
+pub struct AskedPacket {
+    pub(super) flow: FlowKey,
+    datagram: Vec<u8>,
+    at_ms: u64,
+}
+
 impl<F: PacketFormat> AgentCore<F> {
     /// A packet of a flow that the target does not hold, as far as is known: the owner gets it,
     /// or the target is asked by handing it the packet. One that has ended could not hand it back.
@@ -44,9 +56,35 @@
         if self.target.has_ended(now_ms) {
             return self.walk(datagram, segment, hop, now_ms);
         }
+        let is_known = self.target.state(now_ms) != TargetState::Unknown;
+        if !is_known && self.asked.len() < MAX_ASKED {
+            self.asked.push(AskedPacket {
+                flow,
+                datagram: datagram.to_vec(),
+                at_ms: now_ms,
+            });
+        }
         AgentVerdict::Target
     }
 
+    /// Continues the searches whose packets an unknown target has not handed back.
+    pub(super) fn pass_unanswered(&mut self, now_ms: u64) {
+        let is_over =
+            |packet: &mut AskedPacket| now_ms.saturating_sub(packet.at_ms) >= TARGET_ANSWER_MS;
+        let unanswered: Vec<_> = self.asked.extract_if(.., is_over).collect();
+        if self.target.state(now_ms) != TargetState::Unknown && !self.target.has_ended(now_ms) {
+            return;
+        }
+        for AskedPacket { mut datagram, .. } in unanswered {
+            let Some(segment) = self.format.decode(&datagram) else {
+                continue;
+            };
+            let hop = self.format.read_hop(&datagram);
+            let verdict = self.walk(&mut datagram, &segment, hop, now_ms);
+            self.released.push((datagram, verdict));
+        }
+    }
+
     /// Tells the balancer that took the packet where the flow is, if it had to look it up.
     pub(super) fn tell_entry(&mut self, flow: FlowKey, hop: Hop) {
         if hop.lookup == Lookup::Known && hop.tried == 0 {
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -126,6 +126,7 @@
     /// Gives waiting SYNs to the target while it has slots, or to another target that has.
     pub fn release(&mut self, now_ms: u64) {
         self.flows.expire_openings(now_ms);
+        self.pass_unanswered(now_ms);
         let reason = Reason::AttemptEnded;
         let expired = self.waiting.expired(now_ms);
         let ended = expired.map(|syn| Decision::Dropped {
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -30,6 +30,14 @@
 /// Time for which the store counts as reached after its last answer: longer than a watch waits.
 const STORE_FRESH_MS: u64 = 12_500;
 
+/// Longest pause between two reports of the load, which also say that the agent lives.
+pub const LOAD_WITHIN_MS: u32 = 200;
+
+/// Whether `member` places flows on a target with this load.
+fn takes_loads(member: &Member, load: &TargetLoad) -> bool {
+    member.instance.role == InstanceRole::Balancer || member.load.service == load.service
+}
+
 /// The part of a process that knows the others.
 #[derive(Debug)]
 pub struct Peering {
@@ -125,15 +133,13 @@
     pub fn load_interval_ms(&self, load: &TargetLoad, now_ms: u64) -> u64 {
         let receivers = self.load_receivers(load, now_ms).count() as u64;
         let spread_ms = receivers * 1_000 / LOADS_PER_S;
-        spread_ms.clamp(LOAD_INTERVAL_MS, PRESENCE_INTERVAL_MS)
+        spread_ms.clamp(LOAD_INTERVAL_MS, LOAD_WITHIN_MS.into())
     }
 
     /// Those who place flows on the own target.
     fn load_receivers(&self, load: &TargetLoad, now_ms: u64) -> impl Iterator<Item = &Member> {
         self.directory.members().iter().filter(move |member| {
-            let places = member.instance.role == InstanceRole::Balancer
-                || member.load.service == load.service;
-            places && member.is_alive(now_ms) && !self.directory.is_own(member)
+            takes_loads(member, load) && member.is_alive(now_ms) && !self.directory.is_own(member)
         })
     }
 
@@ -182,7 +188,15 @@
         let asked = now_ms / PRESENCE_INTERVAL_MS % (members.len().max(1) as u64);
         for (index, member) in others.enumerate() {
             let asks = wants_members && index as u64 == asked;
-            let notice = Notice::Presence(presence.clone(), asks);
+            let mut presence = presence.clone();
+            let takes_loads = presence
+                .load
+                .as_ref()
+                .is_some_and(|load| takes_loads(member, load));
+            if takes_loads {
+                presence.next_within_ms = LOAD_WITHIN_MS;
+            }
+            let notice = Notice::Presence(presence, asks);
             self.outbox.push(member.instance.control_address, notice);
         }
         let is_known = |seed: &SocketAddrV4| {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -125,6 +125,29 @@
     }
 }
 
+/// The search for a flow goes on past agents that do not know yet that their targets have ended.
+#[test]
+fn a_search_passes_agents_whose_targets_do_not_answer() {
+    let mut world = World::new(2, 6, 5, 20);
+    let holders: Vec<usize> = (0..30).map(|number| world.open(0, number)).collect();
+    let holder = holders[0];
+    world.advance(100);
+    world.restart_agent(holder);
+    for index in (0..6).filter(|index| *index != holder) {
+        world.agents[index].target.is_silent = true;
+        world.restart_agent(index);
+    }
+    world.advance(600);
+    (0..2).for_each(|index| world.restart_balancer(index));
+    world.advance(100);
+    let held = (0..30).zip(&holders).filter(|(_, other)| **other == holder);
+    for (number, _) in held {
+        world.caller_sends(1, request(number));
+        world.advance(150);
+        assert_eq!(world.requests(number), 1, "flow {number}");
+    }
+}
+
 #[test]
 fn flows_of_a_restarted_target_are_reset_at_once() {
     let mut world = World::new(1, 3, 5, 20);
