--- a/src/balancer/control.rs
+++ b/src/balancer/control.rs
@@ -18,8 +18,8 @@
     directory::{AnnounceOutcome, Directory},
     gossip::Gossip,
     lost::{self, DeathRegister, EXAMINE_AFTER_MS},
+    outer_socket::OuterSocket,
     retry::{Answer, Responder},
-    returns::OuterSocket,
     status::{Snapshot, target_status},
 };
 use crate::{
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod gossip;
 pub mod lost;
+mod outer_socket;
 pub mod retry;
 mod returns;
 pub mod route;
--- a/src/balancer/returns.rs
+++ b/src/balancer/returns.rs
@@ -1,11 +1,14 @@
 //! Takes what arrives on the inner socket: replies for callers and control messages.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use kameo::actor::ActorRef;
 use prost::Message;
 
-use super::control::{Control, ControlMessage};
+use super::{
+    control::{Control, ControlMessage},
+    outer_socket::OuterSocket,
+};
 use crate::{
     observe::counters::{Counters, Event},
     proto::control as proto,
@@ -20,15 +23,6 @@
 /// Senders whose sequence numbers are remembered.
 const MAX_SENDERS: usize = 16_384;
 
-/// One service's socket, by number.
-#[derive(Clone, Debug)]
-pub struct OuterSocket {
-    /// Number of the service.
-    pub service: u16,
-    /// Socket on the address that callers use.
-    pub socket: Arc<BatchSocket>,
-}
-
 /// Takes the datagrams of the inner socket.
 pub struct Returns {
     /// Link to the agents.
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -12,8 +12,9 @@
     forward::Forwarder,
     gossip::Gossip,
     lost::DeathRegister,
+    outer_socket::OuterSocket,
     retry::{Responder, RetryError},
-    returns::{OuterSocket, Returns},
+    returns::Returns,
 };
 use crate::{
     clock::{Clock, unix_ms},
--- a/src/commands/admin.rs
+++ b/src/commands/admin.rs
@@ -12,10 +12,9 @@
     balancer::status::TargetStatus,
     cli::{Access, AdminRequest, ChangeOptions, Edit},
     control::policy,
-    exit_codes::Exit,
+    exit_codes::{Exit, fail, fail_faults},
     output::{Table, json},
     proto::policy::{Change, ChangeRequest, Exception, Limits, Policy},
-    run::{fail, fail_faults},
     settings::SettingsError,
 };
 
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -4,8 +4,7 @@
 
 use crate::{
     control::policy,
-    exit_codes::Exit,
-    run::{fail, fail_faults},
+    exit_codes::{Exit, fail, fail_faults},
     settings::{Settings, SettingsError},
 };
 
--- a/src/commands/daemon.rs
+++ b/src/commands/daemon.rs
@@ -10,9 +10,8 @@
     agent::Agent,
     balancer::Balancer,
     control::consul_store::ConsulStore,
-    exit_codes::Exit,
+    exit_codes::{Exit, fail, fail_faults},
     observe::{log::logger, metrics::Metrics},
-    run::{fail, fail_faults},
     settings::{AgentSettings, BalancerSettings, Role, Settings},
 };
 
--- a/src/exit_codes.rs
+++ b/src/exit_codes.rs
@@ -1,6 +1,6 @@
 //! Exit codes of the program; they do not change between versions.
 
-use std::process::ExitCode;
+use std::{path::Path, process::ExitCode};
 
 /// How the program ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -22,3 +22,17 @@
         }
     }
 }
+
+/// Prints an error as the program's last words.
+pub(crate) fn fail(exit: Exit, message: impl std::fmt::Display) -> Exit {
+    eprintln!("bamboowind: {message}");
+    exit
+}
+
+/// Prints the faults of a file, a line each.
+pub(crate) fn fail_faults(path: &Path, lines: impl std::fmt::Display) -> Exit {
+    for line in lines.to_string().lines() {
+        eprintln!("{}: {line}", path.display());
+    }
+    Exit::WrongUse
+}
--- a/src/quickstart/mod.rs
+++ b/src/quickstart/mod.rs
@@ -10,7 +10,10 @@
 
 use tokio::{signal, time};
 
-use crate::{exit_codes::Exit, output, run::fail};
+use crate::{
+    exit_codes::{Exit, fail},
+    output,
+};
 use deployment::Deployment;
 use figures::Report;
 
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,11 +1,9 @@
 //! Runs a command of the command line.
 
-use std::path::Path;
-
 use crate::{
     cli::Command,
     commands::{admin, check, daemon},
-    exit_codes::Exit,
+    exit_codes::{Exit, fail},
     quickstart,
 };
 
@@ -27,17 +25,3 @@
         Err(error) => fail(Exit::Failed, format!("cannot start the runtime: {error}")),
     }
 }
-
-/// Prints an error as the program's last words.
-pub(crate) fn fail(exit: Exit, message: impl std::fmt::Display) -> Exit {
-    eprintln!("bamboowind: {message}");
-    exit
-}
-
-/// Prints the faults of a file, a line each.
-pub(crate) fn fail_faults(path: &Path, lines: impl std::fmt::Display) -> Exit {
-    for line in lines.to_string().lines() {
-        eprintln!("{}: {line}", path.display());
-    }
-    Exit::WrongUse
-}
