Leave agents without a target out of searches, and know them after three packets

Change: an agent without a target has no place in the order of a flow's agents, and one whose target hands back none of three packets of unknown flows has none. Test: an_agent_whose_target_hands_nothing_back_is_not_waited_for (failed first).

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -76,6 +76,7 @@
             return;
         }
         for AskedPacket { mut datagram, .. } in unanswered {
+            self.target.packet_unanswered();
             let Some(segment) = self.format.decode(&datagram) else {
                 continue;
             };
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -8,6 +8,9 @@
 const SILENT_INTERVALS: u64 = 3;
 /// Heartbeat intervals in which a live target is heard by an agent that has restarted.
 const PRESUMED_INTERVALS: u64 = 2;
+/// Packets that a target would have handed back after which it counts as absent, if no heartbeat
+/// has come yet; one may be lost.
+const ABSENT_PACKETS: u32 = 3;
 /// Time in which a target answers a SYN, even a busy one, with room for a paused machine.
 const SYN_ANSWER_MS: u64 = 120;
 /// Unanswered SYNs from which on a target counts as unresponsive.
@@ -70,6 +73,8 @@
     expected_service: Option<Arc<str>>,
     started_at_ms: u64,
     packet_at_ms: Option<u64>,
+    /// Packets of unknown flows that were not handed back, since the last answer.
+    unanswered_packets: u32,
 }
 
 impl Target {
@@ -94,6 +99,7 @@
             expected_service: None,
             started_at_ms: 0,
             packet_at_ms: None,
+            unanswered_packets: 0,
         }
     }
 
@@ -132,10 +138,11 @@
     }
 
     /// Whether no target has shown itself since the agent's start: one that is running would have
-    /// sent a heartbeat by now.
+    /// sent a heartbeat by now, or handed back packets of unknown flows.
     fn is_absent(&self, now_ms: u64) -> bool {
         let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
-        self.packet_at_ms.is_none() && uptime_ms > PRESUMED_INTERVALS * self.heartbeat_interval_ms
+        let is_late = uptime_ms > PRESUMED_INTERVALS * self.heartbeat_interval_ms;
+        self.packet_at_ms.is_none() && (is_late || self.unanswered_packets >= ABSENT_PACKETS)
     }
 
     /// The last heartbeat that was taken.
@@ -224,6 +231,12 @@
     pub fn answered(&mut self) {
         self.unanswered_since_ms = None;
         self.unanswered_syns = 0;
+        self.unanswered_packets = 0;
+    }
+
+    /// The target has not handed back a packet of an unknown flow in time.
+    pub fn packet_unanswered(&mut self) {
+        self.unanswered_packets += 1;
     }
 
     fn is_unresponsive(&self, now_ms: u64) -> bool {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -342,7 +342,8 @@
         found
     }
 
-    /// The live agent of a service that comes next in a flow's order after the weight `below`.
+    /// The live agent of a service that comes next in a flow's order after the weight `below`; one
+    /// without a target holds no flows and may be taken away at any time.
     ///
     /// The order goes by weights and not by ranks, so that two processes that know different
     /// members skip only those that one of them does not know.
@@ -356,7 +357,7 @@
     ) -> Option<FlowOrderStep<'_>> {
         let serving = self.members.iter().filter(|member| member.serves(service));
         serving
-            .filter(|member| member.is_alive(now_ms))
+            .filter(|member| member.is_alive(now_ms) && member.load.state != TargetState::Absent)
             .map(|member| FlowOrderStep {
                 weight: weight(flow_hash, member.name_hash),
                 member,
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -80,6 +80,30 @@
     );
 }
 
+/// The same, when it is taken away before heartbeats are overdue: packets were not handed back.
+#[test]
+fn an_agent_whose_target_hands_nothing_back_is_not_waited_for() {
+    let mut world = World::new(2, 2, 5, 20);
+    let holder = world.open(0, 1);
+    let empty = 1 - holder;
+    world.restart_target(holder);
+    world.restart_agent(holder);
+    world.restart_agent(empty);
+    world.agents[empty].target.is_silent = true;
+    world.advance(300);
+    for number in 50..60 {
+        world.caller_sends(0, request(number));
+    }
+    world.advance(100);
+    world.agents[empty].is_up = false;
+    world.advance(1_500);
+    world.caller_sends(1, request(1));
+    assert!(
+        world.was_reset(1),
+        "no agent that may hold the flow is away"
+    );
+}
+
 /// After a loss of power an agent starts again beside a target that has left, and is taken away.
 #[test]
 fn an_agent_without_a_target_is_not_waited_for() {
