--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -189,11 +189,8 @@
         for (index, member) in others.enumerate() {
             let asks = wants_members && index as u64 == asked;
             let mut presence = presence.clone();
-            let takes_loads = presence
-                .load
-                .as_ref()
-                .is_some_and(|load| takes_loads(member, load));
-            if takes_loads {
+            let own_load = presence.load.as_ref();
+            if own_load.is_some_and(|load| takes_loads(member, load)) {
                 presence.next_within_ms = LOAD_WITHIN_MS;
             }
             let notice = Notice::Presence(presence, asks);
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -126,46 +126,41 @@
     );
 }
 
-/// The search for a flow goes on past an agent whose target has ended.
-#[test]
-fn a_search_passes_agents_whose_targets_have_ended() {
+/// A world in which one target holds flows that no process remembers, `wait_ms` after the other
+/// targets have left and all agents have started again; with the numbers of these flows.
+fn with_targets_that_left(wait_ms: u64) -> (World, Vec<u16>) {
     let mut world = World::new(2, 6, 5, 20);
     let holders: Vec<usize> = (0..30).map(|number| world.open(0, number)).collect();
     let holder = holders[0];
     world.advance(100);
     world.restart_agent(holder);
-    // Nobody remembers the flow, and the other targets have left.
     for index in (0..6).filter(|index| *index != holder) {
         world.agents[index].target.is_silent = true;
         world.restart_agent(index);
     }
-    world.advance(1_500);
+    world.advance(wait_ms);
     (0..2).for_each(|index| world.restart_balancer(index));
-    world.advance(600);
     let held = (0..30).zip(&holders).filter(|(_, other)| **other == holder);
-    for (number, _) in held {
+    (world, held.map(|(number, _)| number).collect())
+}
+
+/// The search for a flow goes on past agents whose targets have ended.
+#[test]
+fn a_search_passes_agents_whose_targets_have_ended() {
+    let (mut world, held) = with_targets_that_left(1_500);
+    world.advance(600);
+    for number in held {
         world.caller_sends(1, request(number));
         assert_eq!(world.requests(number), 1, "flow {number}");
     }
 }
 
-/// The search for a flow goes on past agents that do not know yet that their targets have ended.
+/// The same past agents that do not know yet that their targets have ended.
 #[test]
 fn a_search_passes_agents_whose_targets_do_not_answer() {
-    let mut world = World::new(2, 6, 5, 20);
-    let holders: Vec<usize> = (0..30).map(|number| world.open(0, number)).collect();
-    let holder = holders[0];
-    world.advance(100);
-    world.restart_agent(holder);
-    for index in (0..6).filter(|index| *index != holder) {
-        world.agents[index].target.is_silent = true;
-        world.restart_agent(index);
-    }
-    world.advance(600);
-    (0..2).for_each(|index| world.restart_balancer(index));
+    let (mut world, held) = with_targets_that_left(600);
     world.advance(100);
-    let held = (0..30).zip(&holders).filter(|(_, other)| **other == holder);
-    for (number, _) in held {
+    for number in held {
         world.caller_sends(1, request(number));
         world.advance(150);
         assert_eq!(world.requests(number), 1, "flow {number}");
