Await an agent whose target was never heard of for three seconds

Nothing more is known of such an agent than of one that was never heard, which is awaited for 3 s. Test: an_agent_that_shows_itself_for_a_moment_is_awaited_for_three_seconds (failed first).

--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -18,7 +18,8 @@
 const FORGET_AFTER_MS: u64 = 30_000;
 /// Silence after which an agent that was heard is not expected back with its flows.
 const RETURN_WITHIN_MS: u64 = 15_000;
-/// Time in which an instance that the store names is heard, if it lives.
+/// Time in which an instance that the store names is heard, if it lives, and one whose target was
+/// not heard of yet is heard again.
 const APPEAR_WITHIN_MS: u64 = 3_000;
 /// Time for which an instance that is known by hearsay only counts as alive.
 const HEARSAY_TRUST_MS: u64 = 1_500;
@@ -403,9 +404,14 @@
                 return false;
             }
             if member.is_confirmed {
-                !member.is_alive(now_ms)
-                    && !member.holds_no_flows()
-                    && silent_ms <= RETURN_WITHIN_MS
+                // Of a target that was never heard of no more is known than of an agent.
+                let is_unknown = member.load.state == TargetState::Unknown;
+                let within_ms = if is_unknown && member.load.flows == 0 {
+                    APPEAR_WITHIN_MS
+                } else {
+                    RETURN_WITHIN_MS
+                };
+                !member.is_alive(now_ms) && !member.holds_no_flows() && silent_ms <= within_ms
             } else {
                 silent_ms <= APPEAR_WITHIN_MS
             }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -104,6 +104,28 @@
     );
 }
 
+/// The same, when it is taken away at once: nothing is known of its target.
+#[test]
+fn an_agent_that_shows_itself_for_a_moment_is_awaited_for_three_seconds() {
+    let mut world = World::new(2, 4, 5, 20);
+    let holder = world.open(0, 1);
+    let empty = (holder + 1) % 4;
+    world.restart_target(holder);
+    world.restart_agent(holder);
+    world.restart_agent(empty);
+    world.agents[empty].target.is_silent = true;
+    world.advance(100);
+    world.agents[empty].is_up = false;
+    world.advance(2_500);
+    world.restart_balancer(0);
+    world.advance(100);
+    world.caller_sends(0, request(1));
+    assert!(!world.was_reset(1), "the agent may come back");
+    world.advance(1_000);
+    world.caller_sends(0, request(1));
+    assert!(world.was_reset(1), "its caller must not wait longer");
+}
+
 /// After a loss of power an agent starts again beside a target that has left, and is taken away.
 #[test]
 fn an_agent_without_a_target_is_not_waited_for() {
