--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -267,8 +267,7 @@
         let Some(change) = self.directory.hear_load(from, load, now_ms) else {
             return;
         };
-        let mut members = self.directory.members().iter();
-        if let Some(member) = members.find(|m| m.instance.control_address == from) {
+        if let Some(member) = self.directory.by_control_address(from) {
             self.decisions.push(Decision::Member {
                 name: Arc::clone(&member.instance.name),
                 incarnation: member.instance.incarnation,
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -312,7 +312,7 @@
     /// Forgets instances that left or were silent for long; returns their names.
     pub fn forget_silent(&mut self, now_ms: u64) -> Vec<Arc<str>> {
         let is_kept = |member: &Member| {
-            let silent_ms = now_ms.saturating_sub(member.heard_at_ms);
+            let silent_ms = member.silent_ms(now_ms);
             silent_ms < FORGET_AFTER_MS && !(member.is_leaving && silent_ms > RESTART_MS)
         };
         let gone = self.members.iter().filter(|member| !is_kept(member));
@@ -397,7 +397,7 @@
     #[must_use]
     pub fn awaited_agent(&self, service: &str, now_ms: u64) -> Option<&Member> {
         self.members.iter().find(|member| {
-            let silent_ms = now_ms.saturating_sub(member.heard_at_ms);
+            let silent_ms = member.silent_ms(now_ms);
             let is_agent = member.instance.role == InstanceRole::Agent;
             let may_serve = member.load.service.is_none() || member.serves(service);
             if !is_agent || !may_serve || member.is_leaving {
