Log the end of each search and each reset by a target, under limits of their own

Change: 'flow search ended' (stage, agents tried and known, uptime, incomplete, reset), 'flow reset by the target' (held or not), 'tried' in 'flow refused'; resets, other instances and local changes have limits of their own. No decision changes.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -235,6 +235,12 @@
         if !segment.flags.returned {
             self.target.record_packet(now_ms);
             let flow = segment.target_flow();
+            if segment.flags.rst {
+                let is_held = self.flows.contains(flow);
+                self.peering
+                    .decisions
+                    .push(Decision::TargetReset { flow, is_held });
+            }
             if self.flows.record_target_packet(flow, &segment, now_ms) {
                 self.register_flow(flow, now_ms);
             }
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -195,11 +195,25 @@
         }
         let reason = Reason::FlowNotFound;
         let expects_response = segment.data_len > 0 && !segment.flags.rst;
-        if next.is_none() && expects_response && !is_incomplete {
+        let is_reset = next.is_none() && expects_response && !is_incomplete;
+        let agents = service
+            .as_deref()
+            .map_or(0, |name| self.peering.directory.live_agents(name, now_ms));
+        self.peering.decisions.push(Decision::SearchEnded {
+            flow,
+            lookup: hop.lookup,
+            tried: hop.tried,
+            agents,
+            uptime_ms: self.peering.uptime_ms(now_ms),
+            is_incomplete,
+            is_reset,
+        });
+        if is_reset {
             self.peering.decisions.push(Decision::Refused {
                 flow,
                 reason,
                 route_version: self.route_version,
+                tried: hop.tried,
             });
             let reset = self.format.reset(flow, segment.acknowledged);
             return AgentVerdict::Reset(flow.caller, reset);
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -115,7 +115,7 @@
                 waiting: self.syn_queue.len(),
                 service_ms: rate.service_time_ms,
             };
-            return self.refuse(segment, segment.caller_flow(), reason);
+            return self.refuse(segment, hop, reason);
         }
         self.peering.decisions.push(Decision::Queued {
             flow: segment.caller_flow(),
@@ -318,7 +318,7 @@
             .filter(|_| hop.tried + 1 < MAX_PLACEMENTS)
             .and_then(|service| self.choose_other_agent(service, flow, now_ms));
         let Some(other) = other else {
-            return self.refuse(segment, flow, Reason::AllTargetsRefused);
+            return self.refuse(segment, hop, Reason::AllTargetsRefused);
         };
         let address = other.instance.packet_address;
         let name = Arc::clone(&other.instance.name);
@@ -343,9 +343,10 @@
     pub(super) fn refuse(
         &mut self,
         segment: &Segment,
-        flow: FlowKey,
+        hop: HopMetadata,
         reason: Reason,
     ) -> AgentVerdict<F::Reset> {
+        let flow = segment.caller_flow();
         if !segment.is_first_syn() {
             self.peering
                 .decisions
@@ -356,6 +357,7 @@
             flow,
             reason,
             route_version: 0,
+            tried: hop.tried,
         });
         AgentVerdict::Reset(flow.caller, self.format.reset(flow, 0))
     }
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -220,6 +220,7 @@
                 flow,
                 reason,
                 route_version: self.routes.version(),
+                tried: 0,
             });
             return Verdict::Reset(flow.caller, self.format.reset(flow, segment.acknowledged));
         }
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -5,7 +5,7 @@
 use slog::{Logger, info, warn};
 
 use crate::{
-    flow::packet::FlowKey,
+    flow::packet::{FlowKey, Lookup},
     membership::{directory::MemberChange, instance::TargetState},
     observe::{
         counters::{Counters, Event},
@@ -15,8 +15,12 @@
 
 /// Maximum log lines per second about flows, per process; enough for every flow at current loads.
 const FLOW_LINES_PER_SECOND: u32 = 300;
-/// Maximum log lines per second about state changes, per process.
-const STATE_LINES_PER_SECOND: u32 = 100;
+/// Maximum log lines per second about resets to callers, per process.
+const RESET_LINES_PER_SECOND: u32 = 100;
+/// Maximum log lines per second about other instances, per process.
+const MEMBER_LINES_PER_SECOND: u32 = 100;
+/// Maximum log lines per second about the local target and the routes, per process.
+const LOCAL_LINES_PER_SECOND: u32 = 20;
 
 /// Why a packet was refused or dropped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -120,6 +124,8 @@
         reason: Reason,
         /// Version of the route table; 0 if the agent refused a SYN.
         route_version: u64,
+        /// Number of agents that the packet was sent to before this process.
+        tried: u8,
     },
     /// A packet was dropped without a reset.
     Dropped {
@@ -148,6 +154,30 @@
         /// Time since that agent was last heard from, in milliseconds; 0 if `awaited` is `None`.
         silent_ms: u64,
     },
+    /// The search for a flow ended at this agent without finding its owner.
+    SearchEnded {
+        /// The flow.
+        flow: FlowKey,
+        /// Stage of the lookup by which the packet arrived.
+        lookup: Lookup,
+        /// Number of agents that the packet was sent to before this one.
+        tried: u8,
+        /// Number of live agents of the service that this agent knows, itself included.
+        agents: usize,
+        /// Time since the start of this agent, in milliseconds.
+        uptime_ms: u64,
+        /// Whether an agent that may hold the flow was not reached.
+        is_incomplete: bool,
+        /// Whether the caller was sent a reset.
+        is_reset: bool,
+    },
+    /// The local target sent a reset to a caller.
+    TargetReset {
+        /// The flow.
+        flow: FlowKey,
+        /// Whether the target was known to hold the flow.
+        is_held: bool,
+    },
     /// A balancer received the owner of a flow.
     OwnerLearned {
         /// The flow.
@@ -200,7 +230,9 @@
     log: Logger,
     counters: Counters,
     flow_limit: RateLimit,
-    state_limit: RateLimit,
+    reset_limit: RateLimit,
+    member_limit: RateLimit,
+    local_limit: RateLimit,
 }
 
 impl DecisionLog {
@@ -211,7 +243,9 @@
             log,
             counters,
             flow_limit: RateLimit::new(FLOW_LINES_PER_SECOND),
-            state_limit: RateLimit::new(STATE_LINES_PER_SECOND),
+            reset_limit: RateLimit::new(RESET_LINES_PER_SECOND),
+            member_limit: RateLimit::new(MEMBER_LINES_PER_SECOND),
+            local_limit: RateLimit::new(LOCAL_LINES_PER_SECOND),
         }
     }
 
@@ -219,27 +253,30 @@
     pub fn record(&mut self, decisions: &mut Vec<Decision>, now_ms: u64) {
         for decision in decisions.drain(..) {
             self.counters.count(event(&decision));
-            let limit = if is_state_change(&decision) {
-                &mut self.state_limit
-            } else {
-                &mut self.flow_limit
-            };
+            let limit = self.limit(&decision);
             if let Some(suppressed) = limit.permit(now_ms) {
                 write(&self.log, decision, suppressed);
             }
         }
     }
-}
 
-/// Whether the decision is a state change rather than about a single flow.
-fn is_state_change(decision: &Decision) -> bool {
-    matches!(
-        decision,
-        Decision::MemberChanged { .. }
-            | Decision::MemberRemoved { .. }
-            | Decision::TargetChanged { .. }
-            | Decision::RoutesChanged { .. }
-    )
+    /// Rate limit of a decision. Rare lines have limits of their own, so that frequent ones do not
+    /// suppress them.
+    fn limit(&mut self, decision: &Decision) -> &mut RateLimit {
+        match decision {
+            Decision::Refused { .. }
+            | Decision::SearchEnded { .. }
+            | Decision::TargetReset { .. }
+            | Decision::FlowLost { .. } => &mut self.reset_limit,
+            Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => {
+                &mut self.member_limit
+            }
+            Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
+                &mut self.local_limit
+            }
+            _ => &mut self.flow_limit,
+        }
+    }
 }
 
 fn event(decision: &Decision) -> Event {
@@ -253,6 +290,8 @@
         Decision::Dropped { .. } => Event::DroppedUnroutable,
         Decision::LookedUp { .. } => Event::FlowLookedUp,
         Decision::SearchIncomplete { .. } => Event::FlowSearchIncomplete,
+        Decision::SearchEnded { .. } => Event::FlowSearchEnded,
+        Decision::TargetReset { .. } => Event::TargetReset,
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::FlowLost { .. } => Event::FlowLost,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
@@ -305,8 +344,10 @@
             flow,
             reason,
             route_version,
+            tried,
         } => warn!(log, "flow refused"; "flow" => %flow, "reason" => reason.name(),
-            "why" => ?reason, "route_version" => route_version, "left_out" => suppressed),
+            "why" => ?reason, "route_version" => route_version, "tried" => tried,
+            "left_out" => suppressed),
         Decision::Dropped { flow, reason } => warn!(log, "packet dropped"; "flow" => %flow,
             "reason" => reason.name(), "left_out" => suppressed),
         Decision::LookedUp { flow, agent, tried } => info!(log, "flow lookup sent";
@@ -318,6 +359,19 @@
         } => info!(log, "flow search incomplete"; "flow" => %flow,
             "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
             "left_out" => suppressed),
+        Decision::SearchEnded {
+            flow,
+            lookup,
+            tried,
+            agents,
+            uptime_ms,
+            is_incomplete,
+            is_reset,
+        } => info!(log, "flow search ended"; "flow" => %flow, "lookup" => ?lookup,
+            "tried" => tried, "agents" => agents, "uptime_ms" => uptime_ms,
+            "is_incomplete" => is_incomplete, "is_reset" => is_reset, "left_out" => suppressed),
+        Decision::TargetReset { flow, is_held } => info!(log, "flow reset by the target";
+            "flow" => %flow, "is_held" => is_held, "left_out" => suppressed),
         Decision::OwnerLearned { flow, owner } => info!(log, "flow owner learned";
             "flow" => %flow, "owner" => %owner, "left_out" => suppressed),
         Decision::FlowLost { flow } => warn!(log, "flow lost after a target restart";
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -93,6 +93,11 @@
         self.instance.role == InstanceRole::Agent && self.load.service.as_deref() == Some(service)
     }
 
+    /// Whether the agent is included in the rendezvous orders of flows.
+    fn may_be_searched(&self, now_ms: u64) -> bool {
+        self.is_alive(now_ms) && self.load.state != TargetState::Absent
+    }
+
     /// Whether the agent's target had no flows and accepted no new ones according to the last
     /// report.
     fn holds_no_flows(&self) -> bool {
@@ -366,7 +371,7 @@
     ) -> Option<RankedMember<'_>> {
         let serving = self.members.iter().filter(|member| member.serves(service));
         serving
-            .filter(|member| member.is_alive(now_ms) && member.load.state != TargetState::Absent)
+            .filter(|member| member.may_be_searched(now_ms))
             .map(|member| RankedMember {
                 weight: weight(flow_hash, member.name_hash),
                 member,
@@ -375,6 +380,15 @@
             .max_by_key(|ranked| ranked.weight)
     }
 
+    /// Number of live agents in the rendezvous order of the flows of a service.
+    #[must_use]
+    pub fn live_agents(&self, service: &str, now_ms: u64) -> usize {
+        let serving = self.members.iter().filter(|member| member.serves(service));
+        serving
+            .filter(|member| member.may_be_searched(now_ms))
+            .count()
+    }
+
     /// Whether more than half of the other balancers of a failure domain are alive and in rotation,
     /// or there are no others.
     ///
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -52,6 +52,10 @@
     /// A search for a flow ended without a reply from every agent that may know it, so its caller
     /// was sent no reset.
     FlowSearchIncomplete => "flow_search_incomplete",
+    /// A search for a flow ended without finding its owner.
+    FlowSearchEnded => "flow_search_ended",
+    /// The local target sent a reset to a caller.
+    TargetReset => "target_reset",
     /// The owner of a flow was received from another instance.
     FlowOwnerLearned => "flow_owner_learned",
     /// An open flow was ended because its target is no longer running.
