--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -3,22 +3,26 @@
 #![allow(dead_code)] // Each test file uses only a part of the module.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
 };
 
 use bamboowind::{
     flow::{
-        packet::{FlowKey, PacketFormat},
+        packet::{FlowKey, HopMetadata, PacketFormat},
         routes::{Backend, Class, Route, RouteTable},
     },
     forward::{
         agent::{AgentCore, AgentVerdict},
         balancer::{BalancerCore, Verdict},
+        notices::Notice,
         target::{Heartbeat, Target},
     },
-    membership::instance::{Instance, InstanceRole},
+    membership::{
+        instance::{Instance, InstanceRole},
+        rendezvous::{flow_hash, name_hash, weight},
+    },
 };
 
 #[path = "../../platform/packet.rs"]
@@ -213,6 +217,11 @@
     pub grants_slots: bool,
     /// Time, address and flags of each packet that a caller received.
     pub received: Vec<(u64, SocketAddrV4, u8)>,
+    /// Control addresses of senders and receivers between which notices are lost.
+    pub lost_notices: HashSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Control addresses of instances and of the receivers that are told of them by neither the
+    /// store nor other instances.
+    pub unlisted: HashSet<(SocketAddrV4, SocketAddrV4)>,
     /// Number of slots of each target.
     capacity: usize,
     /// Time for a target to serve a request.
@@ -261,6 +270,8 @@
             tick_ms: TICK_MS,
             grants_slots: true,
             received: Vec::new(),
+            lost_notices: HashSet::new(),
+            unlisted: HashSet::new(),
             capacity,
             service_ms,
         };
@@ -403,11 +414,18 @@
         let balancers = self.balancers.iter();
         instances.extend(balancers.map(|core| core.peering.local_instance().clone()));
         for instance in &instances {
+            let is_listed =
+                |to: SocketAddrV4| !self.unlisted.contains(&(instance.control_address, to));
             for core in &mut self.balancers {
-                core.peering
-                    .add_instance(instance.clone(), 1, None, self.now_ms);
+                if is_listed(core.peering.local_instance().control_address) {
+                    core.peering
+                        .add_instance(instance.clone(), 1, None, self.now_ms);
+                }
             }
             for agent in &mut self.agents {
+                if !is_listed(agent.instance.control_address) {
+                    continue;
+                }
                 let load = Some(agent.core.load(self.now_ms));
                 let peering = &mut agent.core.peering;
                 peering.add_instance(instance.clone(), 1, load, self.now_ms);
@@ -435,7 +453,14 @@
             if notices.is_empty() {
                 return;
             }
-            for (from, to, notice) in notices {
+            for (from, to, mut notice) in notices {
+                if self.lost_notices.contains(&(from, to)) {
+                    continue;
+                }
+                if let Notice::Members(instances) = &mut notice {
+                    let unlisted = &self.unlisted;
+                    instances.retain(|other| !unlisted.contains(&(other.control_address, to)));
+                }
                 let mut balancers = self.balancers.iter_mut();
                 if let Some(core) =
                     balancers.find(|core| core.peering.local_instance().control_address == to)
@@ -453,6 +478,48 @@
         }
     }
 
+    /// Control address of a balancer.
+    pub fn balancer_address(&self, index: usize) -> SocketAddrV4 {
+        self.balancers[index]
+            .peering
+            .local_instance()
+            .control_address
+    }
+
+    /// Control address of an agent.
+    pub fn agent_address(&self, index: usize) -> SocketAddrV4 {
+        self.agents[index].instance.control_address
+    }
+
+    /// Indices of the agents in the rendezvous order of a flow.
+    pub fn flow_order(&self, number: u16) -> Vec<usize> {
+        let hash = flow_hash(flow(number));
+        let mut order: Vec<usize> = (0..self.agents.len()).collect();
+        order.sort_by_key(|index| {
+            let name = &self.agents[*index].instance.name;
+            std::cmp::Reverse(weight(hash, name_hash(name)))
+        });
+        order
+    }
+
+    /// Stops an agent that announces its exit, while its target keeps running.
+    pub fn leave_agent(&mut self, index: usize) {
+        let agent = &mut self.agents[index];
+        let load = Some(agent.core.load(self.now_ms));
+        let version = agent.core.route_version();
+        agent.core.peering.leave(version, load, self.now_ms);
+        self.deliver_notices();
+        self.agents[index].is_up = false;
+    }
+
+    /// Delivers a packet with this hop metadata to an agent, as if another instance had sent it.
+    pub fn send_to_agent(&mut self, index: usize, mut bytes: Vec<u8>, hop: HopMetadata) {
+        PlatformPacket.write_hop_metadata(&mut bytes, hop);
+        let address = self.agents[index].instance.packet_address;
+        self.deliver_to_agent(address, bytes);
+        self.deliver_notices();
+    }
+
     /// Sends a packet from a caller to a balancer. Returns whether the balancer forwarded it.
     pub fn send_from_caller(&mut self, balancer: usize, mut bytes: Vec<u8>) -> bool {
         let verdict = self.balancers[balancer].handle_caller_packet(&mut bytes, self.now_ms);
