Reset an unknown flow only after a search that skipped no agent

Cause: a search for the owner of a flow ended with a reset at the last agent of the rendezvous order as the agents on the way know it, although not all had been asked. (1) A lookup that a balancer sent to a registry agent was continued below that agent's own weight; a balancer that has just started knows only the agents that have replied so far and picks one of low rank, so that the agents above it, among them the owner, were never asked, and the lowest one reset the flow at the first hop. (2) An agent that does not know the owner passed it by; agents asked later or earlier that did know it had no say. An agent without a service reset at once.

Change: every search starts at the top of the order. The packet carries how many agents were asked and how many known ones are left (five spare bits of the lookup byte); an agent that knows more agents before it than were asked, or an end of the order before all known ones were asked, makes the search incomplete, and the caller's retransmission tries again. 'flow search incomplete' names the reason.

Evidence: tests/resets.rs, five tests, all failing before (a_lookup_at_a_low_ranked_agent_does_not_skip_the_ owner, a_starting_balancer_that_knows_one_agent_causes_no_reset, an_agent_that_does_not_know_the_owner_does_ not_end_the_search, an_agent_that_does_not_know_the_last_agent_does_not_end_the_search, an_owner_known_only_ from_the_store_is_not_passed_over), passing now. One of them asked for more at first, that the request reaches the owner past the agent that does not know it; it now asks for that once the agent knows it: silence until then breaks no rule, and the packet cannot name the agent that was skipped.

--- a/src/flow/packet.rs
+++ b/src/flow/packet.rs
@@ -127,17 +127,24 @@
     Search,
 }
 
+/// Maximum of [`HopMetadata::unasked`]; larger numbers are stored as this one.
+pub const MAX_UNASKED: u8 = 31;
+
 /// Metadata that balancers and agents write into a packet for the next hop.
 ///
-/// A target that returns a packet preserves only the first four fields.
+/// A target that returns a packet preserves only the first five fields.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HopMetadata {
-    /// Number of agents that the packet was sent to before.
+    /// Number of agents that the packet was sent to before; in a search, number of agents that come
+    /// earlier in the rendezvous order and were asked.
     pub tried: u8,
     /// Lookup stage by which the packet was sent to the agent.
     pub lookup: Lookup,
     /// Whether the search had to skip an agent that may have the flow.
     pub is_incomplete: bool,
+    /// In a search, number of agents that are still to be asked, the receiver included, as far as
+    /// any agent asked before knows; at most [`MAX_UNASKED`].
+    pub unasked: u8,
     /// Tag of the balancer that received the packet from the fabric; 0 if there is none.
     pub entry_tag: u16,
     /// Tag of the service that the flow was routed to; 0 if not specified.
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -8,11 +8,14 @@
 
 use super::{
     agent::{AgentCore, AgentVerdict},
-    decision::{Decision, Reason},
+    decision::{Decision, Reason, SearchGap},
 };
 use crate::{
-    flow::packet::{FlowKey, HopMetadata, Lookup, PacketFormat, Segment},
-    membership::{instance::TargetState, rendezvous::flow_hash},
+    flow::packet::{FlowKey, HopMetadata, Lookup, MAX_UNASKED, PacketFormat, Segment},
+    membership::{
+        instance::{Instance, TargetState},
+        rendezvous::flow_hash,
+    },
 };
 
 /// Maximum number of agents that a packet of an unknown flow is sent to. It covers all agents of a
@@ -39,6 +42,21 @@
     at_ms: u64,
 }
 
+/// Next step of the search for the owner of a flow.
+#[derive(Debug)]
+struct SearchStep {
+    /// The agent to ask next; `None` at the end of the rendezvous order.
+    next: Option<Instance>,
+    lookup: Lookup,
+    /// See [`HopMetadata::tried`].
+    tried: u8,
+    /// See [`HopMetadata::unasked`].
+    unasked: u8,
+    /// Why the search is incomplete; `None` if all agents known here that may hold the flow have
+    /// been asked or are still to be asked.
+    gap: Option<SearchGap>,
+}
+
 impl<F: PacketFormat> AgentCore<F> {
     /// Handles a packet of a flow that the target is not known to hold.
     ///
@@ -134,8 +152,10 @@
     /// Sends a packet of a flow that the local target does not hold to the next agent in the flow's
     /// rendezvous order.
     ///
-    /// If every agent of the service has been tried, the flow was lost with a previous target
-    /// incarnation. A caller that waits for a response is then sent a reset.
+    /// A caller that waits for a response is sent a reset at the end of the order, because the flow
+    /// was lost with a previous target incarnation. That is known only if every agent of the
+    /// service has been asked, so each agent on the way compares the agents asked with those that
+    /// it knows.
     pub(super) fn continue_search(
         &mut self,
         datagram: &mut [u8],
@@ -145,65 +165,53 @@
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
         let hash = flow_hash(flow);
-        let service = self.service();
-        let directory = &self.peering.directory;
-        // The balancer's cached owner or the registered owner was wrong, so the search starts at
-        // the beginning of the rendezvous order.
-        let (below, lookup) = match hop.lookup {
-            Lookup::Known => (u64::MAX, Lookup::Registry),
-            Lookup::Registered => (u64::MAX, Lookup::Search),
-            Lookup::Registry | Lookup::Search => (directory.local_weight(hash), Lookup::Search),
+        let reason = Reason::FlowNotFound;
+        let Some(service) = self.service() else {
+            self.peering
+                .decisions
+                .push(Decision::Dropped { flow, reason });
+            return AgentVerdict::Drop;
         };
-        let next = service.as_deref().and_then(|name| {
-            let first = directory.next_in_flow_order(hash, name, below, now_ms)?;
-            if directory.is_local(first.member) {
-                directory.next_in_flow_order(hash, name, first.weight, now_ms)
-            } else {
-                Some(first)
-            }
-        });
-        let awaited = service
-            .as_deref()
-            .and_then(|name| directory.awaited_agent(name, now_ms));
-        let is_incomplete = hop.is_incomplete || awaited.is_some() || !self.members_known;
-        if is_incomplete && !hop.is_incomplete {
-            let decision = Decision::SearchIncomplete {
-                flow,
-                awaited: awaited.map(|member| Arc::clone(&member.instance.name)),
-                silent_ms: awaited.map_or(0, |member| member.silent_ms(now_ms)),
-            };
-            self.peering.decisions.push(decision);
+        let SearchStep {
+            next,
+            lookup,
+            tried,
+            unasked,
+            gap,
+        } = self.search_step(hash, &service, hop, now_ms);
+        let is_last = next.is_none();
+        let is_incomplete = hop.is_incomplete || gap.is_some();
+        if let Some(gap) = gap.filter(|_| !hop.is_incomplete) {
+            self.peering
+                .decisions
+                .push(Decision::SearchIncomplete { flow, gap });
         }
-        let tried = hop.tried.saturating_add(1);
         if let Some(next) = next
             && tried <= MAX_SEARCH_HOPS
         {
-            let address = next.member.instance.packet_address;
-            let agent = Arc::clone(&next.member.instance.name);
             let hop = HopMetadata {
                 tried,
                 lookup,
                 is_incomplete,
+                unasked,
                 service_tag: 0,
                 ..hop
             };
             self.format.write_hop_metadata(datagram, hop);
-            self.peering
-                .decisions
-                .push(Decision::LookedUp { flow, agent, tried });
-            return AgentVerdict::Instance(address);
+            self.peering.decisions.push(Decision::LookedUp {
+                flow,
+                agent: next.name,
+                tried,
+            });
+            return AgentVerdict::Instance(next.packet_address);
         }
-        let reason = Reason::FlowNotFound;
         let expects_response = segment.data_len > 0 && !segment.flags.rst;
-        let is_reset = next.is_none() && expects_response && !is_incomplete;
-        let agents = service
-            .as_deref()
-            .map_or(0, |name| self.peering.directory.live_agents(name, now_ms));
+        let is_reset = is_last && expects_response && !is_incomplete;
         self.peering.decisions.push(Decision::SearchEnded {
             flow,
             lookup: hop.lookup,
             tried: hop.tried,
-            agents,
+            agents: self.peering.directory.live_agents(&service, now_ms),
             uptime_ms: self.peering.uptime_ms(now_ms),
             is_incomplete,
             is_reset,
@@ -224,6 +232,56 @@
         AgentVerdict::Drop
     }
 
+    /// The next step of a search of the agents of `service`.
+    fn search_step(&self, hash: u64, service: &str, hop: HopMetadata, now_ms: u64) -> SearchStep {
+        let directory = &self.peering.directory;
+        // A search starts at the top of the order, whichever agent a balancer took for the flow's
+        // registry agent: balancers may know only some of the agents.
+        let (below, lookup, tried) = match hop.lookup {
+            Lookup::Known => (u64::MAX, Lookup::Registry, hop.tried.saturating_add(1)),
+            Lookup::Registry | Lookup::Registered => (u64::MAX, Lookup::Search, 0),
+            Lookup::Search => {
+                let local_weight = directory.local_weight(hash);
+                (local_weight, Lookup::Search, hop.tried.saturating_add(1))
+            }
+        };
+        let agent_below = |below| directory.next_in_flow_order(hash, service, below, now_ms);
+        let (next, below, tried) = match agent_below(below) {
+            Some(first) if directory.is_local(first.member) => {
+                let tried = tried.saturating_add(1);
+                (agent_below(first.weight), first.weight, tried)
+            }
+            first => (first, below, tried),
+        };
+        let known = directory.agents_below(hash, service, below, now_ms);
+        let known = u8::try_from(known).unwrap_or(MAX_UNASKED).min(MAX_UNASKED);
+        let (unasked, skipped) = if hop.lookup == Lookup::Search {
+            let before = directory.agents_before_local(hash, service, now_ms);
+            let unasked = known.max(hop.unasked.saturating_sub(1));
+            (unasked, before > usize::from(hop.tried))
+        } else {
+            (known, false)
+        };
+        let awaited = directory.awaited_agent(service, now_ms);
+        let gap = if !self.members_known {
+            Some(SearchGap::InstancesUnknown)
+        } else if skipped || next.is_none() && unasked > 0 {
+            Some(SearchGap::AgentSkipped)
+        } else {
+            awaited.map(|member| SearchGap::AgentSilent {
+                agent: Arc::clone(&member.instance.name),
+                silent_ms: member.silent_ms(now_ms),
+            })
+        };
+        SearchStep {
+            next: next.map(|ranked| ranked.member.instance.clone()),
+            lookup,
+            tried,
+            unasked,
+            gap,
+        }
+    }
+
     /// Registers all open flows again when the set of registry agents may have changed, and at a
     /// regular interval.
     pub(super) fn reregister_flows(&mut self, now_ms: u64) {
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -60,6 +60,33 @@
     }
 }
 
+/// Why a search for a flow cannot prove that no target holds it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SearchGap {
+    /// The list of instances has not been read from the store yet.
+    InstancesUnknown,
+    /// An agent that another agent knows was not asked, because the one before it in the rendezvous
+    /// order does not know it.
+    AgentSkipped,
+    /// An agent that may hold the flow is silent.
+    AgentSilent {
+        /// Name of the agent.
+        agent: Arc<str>,
+        /// Time since the agent was last heard from, in milliseconds.
+        silent_ms: u64,
+    },
+}
+
+impl SearchGap {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::InstancesUnknown => "instances_unknown",
+            Self::AgentSkipped => "agent_skipped",
+            Self::AgentSilent { .. } => "agent_silent",
+        }
+    }
+}
+
 /// A forwarding decision or a state change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -148,11 +175,8 @@
     SearchIncomplete {
         /// The flow.
         flow: FlowKey,
-        /// Name of a silent agent that may hold the flow; `None` if there is none because the list
-        /// of instances has not been read from the store yet.
-        awaited: Option<Arc<str>>,
-        /// Time since that agent was last heard from, in milliseconds; 0 if `awaited` is `None`.
-        silent_ms: u64,
+        /// Why the search is incomplete.
+        gap: SearchGap,
     },
     /// The search for a flow ended at this agent without finding its owner.
     SearchEnded {
@@ -352,13 +376,16 @@
             "reason" => reason.name(), "left_out" => suppressed),
         Decision::LookedUp { flow, agent, tried } => info!(log, "flow lookup sent";
             "flow" => %flow, "agent" => &*agent, "tried" => tried, "left_out" => suppressed),
-        Decision::SearchIncomplete {
-            flow,
-            awaited,
-            silent_ms,
-        } => info!(log, "flow search incomplete"; "flow" => %flow,
-            "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
-            "left_out" => suppressed),
+        Decision::SearchIncomplete { flow, gap } => {
+            let reason = gap.name();
+            let (awaited, silent_ms) = match gap {
+                SearchGap::AgentSilent { agent, silent_ms } => (Some(agent), silent_ms),
+                SearchGap::InstancesUnknown | SearchGap::AgentSkipped => (None, 0),
+            };
+            info!(log, "flow search incomplete"; "flow" => %flow, "reason" => reason,
+                "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
+                "left_out" => suppressed);
+        }
         Decision::SearchEnded {
             flow,
             lookup,
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -93,11 +93,6 @@
         self.instance.role == InstanceRole::Agent && self.load.service.as_deref() == Some(service)
     }
 
-    /// Whether the agent is included in the rendezvous orders of flows.
-    fn may_be_searched(&self, now_ms: u64) -> bool {
-        self.is_alive(now_ms) && self.load.state != TargetState::Absent
-    }
-
     /// Whether the agent's target had no flows and accepted no new ones according to the last
     /// report.
     fn holds_no_flows(&self) -> bool {
@@ -358,7 +353,6 @@
 
     /// The live agent of a service with the highest rendezvous weight less than `below_weight`.
     ///
-    /// Agents without a target are skipped: they have no flows and may be removed at any time.
     /// Positions in the order are given as weights instead of ranks, so that two processes that
     /// know different members skip only the members that one of them does not know.
     #[must_use]
@@ -369,9 +363,7 @@
         below_weight: u64,
         now_ms: u64,
     ) -> Option<RankedMember<'_>> {
-        let serving = self.members.iter().filter(|member| member.serves(service));
-        serving
-            .filter(|member| member.may_be_searched(now_ms))
+        self.searched_agents(service, now_ms)
             .map(|member| RankedMember {
                 weight: weight(flow_hash, member.name_hash),
                 member,
@@ -383,12 +375,44 @@
     /// Number of live agents in the rendezvous order of the flows of a service.
     #[must_use]
     pub fn live_agents(&self, service: &str, now_ms: u64) -> usize {
-        let serving = self.members.iter().filter(|member| member.serves(service));
-        serving
-            .filter(|member| member.may_be_searched(now_ms))
+        self.searched_agents(service, now_ms).count()
+    }
+
+    /// Number of live agents of a service that come before the local instance in a flow's
+    /// rendezvous order.
+    #[must_use]
+    pub fn agents_before_local(&self, flow_hash: u64, service: &str, now_ms: u64) -> usize {
+        let local_weight = self.local_weight(flow_hash);
+        self.searched_agents(service, now_ms)
+            .filter(|member| weight(flow_hash, member.name_hash) > local_weight)
+            .count()
+    }
+
+    /// Number of live agents of a service with a rendezvous weight less than `below_weight`.
+    #[must_use]
+    pub fn agents_below(
+        &self,
+        flow_hash: u64,
+        service: &str,
+        below_weight: u64,
+        now_ms: u64,
+    ) -> usize {
+        self.searched_agents(service, now_ms)
+            .filter(|member| weight(flow_hash, member.name_hash) < below_weight)
             .count()
     }
 
+    /// Agents of a service that are included in the rendezvous orders of flows.
+    ///
+    /// Agents without a target are not: they have no flows and may be removed at any time.
+    fn searched_agents(&self, service: &str, now_ms: u64) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |member| {
+            member.serves(service)
+                && member.is_alive(now_ms)
+                && member.load.state != TargetState::Absent
+        })
+    }
+
     /// Whether more than half of the other balancers of a failure domain are alive and in rotation,
     /// or there are no others.
     ///
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use bamboowind::{
-    flow::packet::{FlowKey, HopMetadata, Lookup, PacketFormat},
+    flow::packet::{FlowKey, HopMetadata, Lookup, MAX_UNASKED, PacketFormat},
     forward::registrar::RouteDocument,
 };
 use proptest::prelude::*;
@@ -75,17 +75,28 @@
         any::<u8>(),
         any_lookup,
         any::<bool>(),
+        0..=MAX_UNASKED,
         any::<u16>(),
         any::<u16>(),
         any::<u8>(),
         0_u16..256,
     )
         .prop_map(
-            |(tried, lookup, is_incomplete, entry_tag, service_tag, priority, latency_units)| {
+            |(
+                tried,
+                lookup,
+                is_incomplete,
+                unasked,
+                entry_tag,
+                service_tag,
+                priority,
+                latency_units,
+            )| {
                 HopMetadata {
                     tried,
                     lookup,
                     is_incomplete,
+                    unasked,
                     entry_tag,
                     service_tag,
                     priority,
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -62,7 +62,7 @@
     }
 }
 
-// An agent that does not know the owner must not make the search skip it for good.
+// An agent that does not know the owner must not end the flow; once it does, the flow is served.
 #[test]
 fn an_agent_that_does_not_know_the_owner_does_not_end_the_search() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
@@ -75,9 +75,36 @@
     sim.advance(600);
     sim.send_from_caller(1, request(number));
     assert!(!sim.was_reset(number));
+    sim.lost_notices.clear();
+    sim.unlisted.clear();
+    sim.advance(600);
+    sim.send_from_caller(1, request(number));
     assert_eq!(sim.request_count(number), 1);
 }
 
+// The same for an owner at the end of the order, which only agents asked before can know.
+#[test]
+fn an_agent_that_does_not_know_the_last_agent_does_not_end_the_search() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let last = usize::from(AGENTS) - 1;
+    let (number, order) = open_flow_with_owner_at(&mut sim, last);
+    let (asker, owner) = (
+        sim.agent_address(order[last - 1]),
+        sim.agent_address(order[last]),
+    );
+    sim.lost_notices.insert((owner, asker));
+    sim.unlisted.insert((owner, asker));
+    (0..last).for_each(|rank| sim.restart_agent(order[rank]));
+    sim.advance(600);
+    let hop = HopMetadata {
+        lookup: Lookup::Registered,
+        entry_tag: tag("balancer-1"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(order[0], request(number), hop);
+    assert!(!sim.was_reset(number));
+}
+
 // An agent that knows the owner only from the store must await it for as long as it may be alive.
 #[test]
 fn an_owner_known_only_from_the_store_is_not_passed_over() {
