Test that restarts of agents and targets reset no open flow

The last one is a finding from the first: Directory::handle_presence reports a changed target state in place of the join, so that Peering::handle_presence sends a started agent no reply, and the agent knows the others only after their next round of presence messages.

--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -4,9 +4,9 @@
 
 use bamboowind::{
     flow::packet::{HopMetadata, Lookup},
-    membership::rendezvous::tag,
+    membership::{instance::TargetState, rendezvous::tag},
 };
-use simulation::{Simulation, request};
+use simulation::{Simulation, flow, request};
 
 /// Number of agents in most simulations.
 const AGENTS: u8 = 6;
@@ -121,3 +121,155 @@
     sim.send_from_caller(1, request(number));
     assert!(!sim.was_reset(number), "four seconds after the start");
 }
+
+// A busy target that takes a request and sends nothing for a while has not denied the flow.
+#[test]
+fn a_busy_target_beside_a_restarted_agent_does_not_lose_its_flow() {
+    let mut reset = Vec::new();
+    let mut runs = 0;
+    for (service_ms, balancer) in [(60, 0), (60, 1), (120, 0), (120, 1), (240, 0), (240, 1)] {
+        for (uptime_ms, number) in [20, 150]
+            .into_iter()
+            .flat_map(|ms| (0..24).map(move |n| (ms, n)))
+        {
+            let mut sim = Simulation::new(2, AGENTS, 5, service_ms);
+            let owner = sim.open_flow(0, number);
+            sim.advance(100);
+            let order = sim.flow_order(number);
+            let rank = order.iter().position(|index| *index == owner);
+            sim.restart_agent(owner);
+            sim.advance(uptime_ms);
+            sim.send_from_caller(balancer, request(number));
+            sim.advance(service_ms + 100);
+            assert!(sim.request_count(number) > 0);
+            runs += 1;
+            if sim.was_reset(number) {
+                reset.push((service_ms, balancer, uptime_ms, number, rank.unwrap()));
+            }
+        }
+    }
+    assert!(
+        reset.is_empty(),
+        "{} of {runs}, first with (service time, balancer, uptime of the agent, flow, rank of its \
+         owner) {:?}",
+        reset.len(),
+        reset[0]
+    );
+}
+
+// Requests that a busy target works on do not show that it is absent.
+#[test]
+fn three_unanswered_requests_do_not_make_a_busy_target_absent() {
+    let mut sim = Simulation::new(1, 1, 5, 200);
+    for number in 0..4 {
+        sim.open_flow(0, number);
+        sim.advance(50);
+    }
+    sim.advance(50);
+    sim.restart_agent(0);
+    sim.advance(20);
+    for number in 0..3 {
+        sim.send_from_caller(0, request(number));
+    }
+    sim.advance(50);
+    let state = sim.agents[0].core.target.state(sim.now_ms);
+    sim.send_from_caller(0, request(3));
+    assert!(!sim.was_reset(3), "state of the target: {state:?}");
+    assert_eq!(sim.request_count(3), 1, "state of the target: {state:?}");
+    assert_ne!(state, TargetState::Absent);
+}
+
+/// Opens a flow whose owner is at position 2 of the flow's order, and loses the registrations of
+/// the flow. Returns the number of the flow, and the order.
+fn open_unregistered_flow(sim: &mut Simulation) -> (u16, Vec<usize>) {
+    let (number, order) = open_flow_with_owner_at(sim, 2);
+    let owner = sim.agent_address(order[2]);
+    // The registry agents restart and hear nothing from the owner, which would register its flows
+    // with them, until they have been up for a while.
+    for index in &order[..2] {
+        let registry_agent = sim.agent_address(*index);
+        sim.lost_notices.insert((owner, registry_agent));
+        sim.restart_agent(*index);
+    }
+    sim.advance(600);
+    for index in &order[..2] {
+        let registry_agent = sim.agent_address(*index);
+        sim.lost_notices.remove(&(owner, registry_agent));
+    }
+    (number, order)
+}
+
+// An agent that stops for a restart while its target serves is awaited by searches.
+#[test]
+fn a_flow_of_an_agent_that_left_for_a_restart_is_not_reset() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_unregistered_flow(&mut sim);
+    let owner = order[2];
+    sim.advance(400);
+    sim.leave_agent(owner);
+    sim.restart_balancer(1);
+    sim.advance(100);
+    for _ in 0..9 {
+        sim.send_from_caller(1, request(number));
+        assert!(!sim.was_reset(number), "the target still serves");
+        sim.advance(100);
+    }
+    sim.restart_agent(owner);
+    sim.advance(600);
+    sim.send_from_caller(1, request(number));
+    assert!(!sim.was_reset(number));
+    assert_eq!(sim.request_count(number), 1);
+}
+
+// Agents that start while the owner's agent is stopped know it from nowhere.
+#[test]
+fn a_flow_of_an_agent_that_left_is_not_reset_by_agents_started_later() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let owner = order[2];
+    sim.leave_agent(owner);
+    for index in order.iter().filter(|index| **index != owner) {
+        sim.restart_agent(*index);
+    }
+    sim.restart_balancer(1);
+    sim.advance(600);
+    sim.send_from_caller(1, request(number));
+    assert!(!sim.was_reset(number), "the target still serves");
+    sim.advance(400);
+    sim.restart_agent(owner);
+    sim.advance(600);
+    sim.send_from_caller(1, request(number));
+    assert!(!sim.was_reset(number));
+    assert_eq!(sim.request_count(number), 1);
+}
+
+// Only the flows of the previous target incarnation are lost with it.
+#[test]
+fn a_flow_opened_before_the_first_heartbeat_of_a_target_is_not_reset() {
+    let mut sim = Simulation::new(1, 1, 5, 20);
+    sim.open_flow(0, 1);
+    sim.advance(100);
+    sim.restart_target(0);
+    let owner = sim.open_flow(0, 2);
+    sim.send_from_caller(0, request(2));
+    assert_eq!(sim.request_count(2), 1);
+    sim.advance(600);
+    assert!(sim.was_reset(1), "the target has lost the flow");
+    assert!(sim.agents[owner].target.flows.contains(&flow(2)));
+    assert!(!sim.was_reset(2), "the target holds the flow");
+}
+
+// A started agent must not have to wait for the next round of presence messages to know the others.
+#[test]
+fn a_started_agent_is_sent_replies_at_once() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    sim.advance(30);
+    sim.restart_agent(0);
+    sim.advance(30);
+    let members = sim.agents[0].core.peering.directory.members().iter();
+    let unconfirmed: Vec<_> = members
+        .filter(|member| !member.is_confirmed)
+        .map(|member| &*member.instance.name)
+        .collect();
+    assert!(unconfirmed.is_empty(), "not heard from: {unconfirmed:?}");
+}
