Test that a late first SYN neither resets nor moves an open flow

a_first_syn_read_late_does_not_reset_the_flow_that_its_copy_opened tests/resets.rs:272: the first SYN is 700 ms late a_queued_first_syn_does_not_reset_the_flow_that_its_copy_opened tests/resets.rs:314: the second target holds the flow the_restart_of_a_target_does_not_reset_a_flow_that_it_never_accepted tests/resets.rs:443: the flow is open at the other target

Two pass and are guards: a_first_syn_admitted_late_does_not_replace_the_owner and a_first_syn_answered_late_does_not_replace_the_owner.

The simulation can now freeze an agent, which reads its sockets afterwards.

--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -4,9 +4,10 @@
 
 use bamboowind::{
     flow::packet::{HopMetadata, Lookup},
+    forward::balancer::Verdict,
     membership::{instance::TargetState, rendezvous::tag},
 };
-use simulation::{Simulation, flow, request};
+use simulation::{ACK, SERVICE, Simulation, datagram, flow, packet::HEADER_LEN, request, syn};
 
 /// Number of agents in most simulations.
 const AGENTS: u8 = 6;
@@ -273,3 +274,202 @@
         .collect();
     assert!(unconfirmed.is_empty(), "not heard from: {unconfirmed:?}");
 }
+
+// A first SYN that a frozen agent reads late must not reset the flow that its copy has opened.
+#[test]
+fn a_first_syn_read_late_does_not_reset_the_flow_that_its_copy_opened() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    for number in 0..20 {
+        // The targets start to drain between the copy and the end of the freeze.
+        sim.advance(850 - sim.now_ms % 500);
+        let started_at_ms = sim.now_ms;
+        (0..2).for_each(|index| sim.freeze_agent(index));
+        sim.send_from_caller(0, syn(number, 0));
+        let first = usize::from(sim.agents[1].has_unread_packets());
+        let other = 1 - first;
+        sim.thaw_agent(other);
+        sim.advance(600);
+        sim.send_from_caller(0, syn(number, 2));
+        assert!(sim.agents[other].target.flows.contains(&flow(number)));
+        sim.send_from_caller(0, request(number));
+        (0..2).for_each(|index| sim.agents[index].is_draining = true);
+        sim.advance(100);
+        sim.thaw_agent(first);
+        let late_ms = sim.now_ms - started_at_ms;
+        assert!(!sim.was_reset(number), "the first SYN is {late_ms} ms late");
+        sim.send_from_caller(0, request(number));
+        assert_eq!(sim.request_count(number), 2);
+        (0..2).for_each(|index| sim.agents[index].is_draining = false);
+        sim.advance(1_000);
+    }
+}
+
+// A first SYN that has waited in the queue of an agent must not reset the flow that its copy has
+// opened.
+#[test]
+fn a_queued_first_syn_does_not_reset_the_flow_that_its_copy_opened() {
+    let mut sim = Simulation::new(1, 3, 1, 2_000);
+    sim.grants_slots = false;
+    let new_flow = |tried| HopMetadata {
+        tried,
+        service_tag: tag(SERVICE),
+        entry_tag: tag("balancer-0"),
+        priority: 1,
+        target_latency_ms: 200,
+        ..HopMetadata::default()
+    };
+    sim.advance(40);
+    // The first agent admits no more than this number of requests.
+    for number in 1..4 {
+        sim.send_to_agent(0, syn(number, 0), new_flow(2));
+        sim.advance(20);
+        assert!(sim.agents[0].target.flows.contains(&flow(number)));
+        sim.send_to_agent(0, request(number), HopMetadata::default());
+    }
+    sim.send_to_agent(0, syn(4, 0), new_flow(2));
+    sim.advance(200);
+    assert!(!sim.agents[0].target.flows.contains(&flow(4)), "queued");
+    sim.send_to_agent(1, syn(4, 1), new_flow(0));
+    assert!(sim.agents[1].target.flows.contains(&flow(4)));
+    sim.send_to_agent(1, request(4), HopMetadata::default());
+    // The last agent grants a slot just before its target starts to drain.
+    sim.advance(490 - sim.now_ms % 500);
+    sim.grants_slots = true;
+    sim.advance(10);
+    sim.agents[2].is_draining = true;
+    sim.advance(50);
+    assert!(!sim.was_reset(4), "the second target holds the flow");
+    sim.send_from_caller(0, request(4));
+    assert_eq!(sim.request_count(4), 2);
+}
+
+/// Opens flow 1 at another target than the one that received the first SYN, which is not answered.
+/// Both SYNs enter through balancer 0. Returns the simulation with the first agent frozen, the
+/// index of that agent and that of the owner.
+fn open_flow_by_a_copy() -> (Simulation, usize, usize) {
+    let mut sim = Simulation::new(2, 3, 5, 20);
+    for (index, agent) in sim.agents.iter_mut().enumerate() {
+        agent.target.sequence = 1_000_000 * u32::try_from(index).unwrap();
+    }
+    sim.advance(30);
+    (0..3).for_each(|index| sim.freeze_agent(index));
+    sim.send_from_caller(0, syn(1, 0));
+    let first = (0..3).find(|index| sim.agents[*index].has_unread_packets());
+    let first = first.expect("the SYN was placed");
+    (0..3)
+        .filter(|index| *index != first)
+        .for_each(|index| sim.thaw_agent(index));
+    sim.advance(600);
+    sim.send_from_caller(0, syn(1, 2));
+    let owner = (0..3).find(|index| sim.agents[*index].target.flows.contains(&flow(1)));
+    (sim, first, owner.expect("the copy has opened the flow"))
+}
+
+/// A request of flow 1 that acknowledges the SYN+ACK of the owner.
+fn request_to(sim: &Simulation, owner: usize) -> Vec<u8> {
+    let key = flow(1);
+    let acknowledged = sim.agents[owner].target.sequence + 1;
+    datagram(key.caller, key.service, ACK, 8, acknowledged, 100)
+}
+
+/// Address to which a balancer sends the next packet of flow 1.
+fn next_hop(
+    sim: &mut Simulation,
+    balancer: usize,
+    mut bytes: Vec<u8>,
+) -> Verdict<[u8; HEADER_LEN]> {
+    let now_ms = sim.now_ms;
+    sim.balancers[balancer].handle_caller_packet(&mut bytes, now_ms)
+}
+
+// A first SYN that is admitted late must not take the flow that its copy has opened.
+#[test]
+fn a_first_syn_admitted_late_does_not_replace_the_owner() {
+    let (mut sim, first, owner) = open_flow_by_a_copy();
+    let request = request_to(&sim, owner);
+    sim.send_from_caller(0, request.clone());
+    assert_eq!(sim.agents[owner].target.requests.len(), 1);
+    // The first agent redirects its SYN to the third one, because the owner drains as well.
+    sim.agents[first].is_draining = true;
+    sim.agents[owner].is_draining = true;
+    sim.advance(500);
+    sim.thaw_agent(first);
+    let third = 3 - first - owner;
+    assert!(sim.agents[third].target.flows.contains(&flow(1)));
+    for balancer in [0, 1, 0, 1] {
+        sim.send_from_caller(balancer, request.clone());
+    }
+    assert!(!sim.was_reset(1));
+    assert_eq!(sim.agents[owner].target.requests.len(), 5);
+    let address = sim.agents[owner]
+        .core
+        .peering
+        .local_instance()
+        .packet_address;
+    for balancer in 0..2 {
+        let next = next_hop(&mut sim, balancer, request.clone());
+        assert_eq!(next, Verdict::Send(address), "balancer {balancer}");
+    }
+}
+
+// Like above, but the target of the third agent answers the late SYN after the next request.
+#[test]
+fn a_first_syn_answered_late_does_not_replace_the_owner() {
+    let (mut sim, first, owner) = open_flow_by_a_copy();
+    let request = request_to(&sim, owner);
+    sim.send_from_caller(0, request.clone());
+    sim.agents[first].is_draining = true;
+    sim.agents[owner].is_draining = true;
+    sim.advance(500);
+    let third = 3 - first - owner;
+    sim.agents[third].target.is_silent = true;
+    sim.thaw_agent(first);
+    sim.send_from_caller(0, request.clone());
+    sim.agents[third].target.is_silent = false;
+    for balancer in [0, 1, 0, 1] {
+        sim.advance(100);
+        sim.send_from_caller(balancer, request.clone());
+    }
+    assert!(!sim.was_reset(1));
+    assert!(sim.agents[owner].target.requests.len() >= 5);
+    let address = sim.agents[owner]
+        .core
+        .peering
+        .local_instance()
+        .packet_address;
+    for balancer in 0..2 {
+        let next = next_hop(&mut sim, balancer, request.clone());
+        assert_eq!(next, Verdict::Send(address), "balancer {balancer}");
+    }
+}
+
+// A target that never answered the SYN has not lost the flow, which a copy has opened elsewhere.
+#[test]
+fn the_restart_of_a_target_does_not_reset_a_flow_that_it_never_accepted() {
+    let mut sim = Simulation::new(2, 2, 5, 20);
+    for (index, agent) in sim.agents.iter_mut().enumerate() {
+        agent.target.sequence = 1_000_000 * u32::try_from(index).unwrap();
+        agent.target.is_silent = true;
+    }
+    sim.send_from_caller(0, syn(1, 0));
+    let first = usize::from(sim.agents[1].core.flows() == 1);
+    let owner = 1 - first;
+    sim.agents[owner].target.is_silent = false;
+    sim.advance(200);
+    let hop = HopMetadata {
+        service_tag: tag(SERVICE),
+        entry_tag: tag("balancer-1"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(owner, syn(1, 1), hop);
+    assert!(sim.agents[owner].target.flows.contains(&flow(1)));
+    let request = request_to(&sim, owner);
+    sim.send_from_caller(0, request.clone());
+    sim.restart_target(first);
+    sim.advance(600);
+    assert!(!sim.was_reset(1), "the flow is open at the other target");
+    sim.send_from_caller(0, request.clone());
+    sim.send_from_caller(1, request);
+    assert!(!sim.was_reset(1));
+    assert!(sim.agents[owner].target.requests.len() >= 2);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -196,6 +196,10 @@
     /// Whether the agent process is running. All packets and notices to and from a stopped agent
     /// are lost.
     pub is_up: bool,
+    /// Whether the agent process is frozen: it reads what it is sent only afterwards.
+    pub is_frozen: bool,
+    /// Unread messages of a frozen agent, in order of arrival.
+    unread: Vec<Unread>,
     /// Whether the heartbeats of the target say that it is draining.
     pub is_draining: bool,
     instance: Instance,
@@ -205,6 +209,26 @@
     target_incarnation: u64,
 }
 
+/// A message in a socket of an agent.
+enum Unread {
+    /// Packet from a balancer or another agent.
+    Inbound(Vec<u8>),
+    /// Packet from the target.
+    Outbound(Vec<u8>),
+    /// Notice and the control address of its sender.
+    Notice(SocketAddrV4, Notice),
+    /// Heartbeat of the target.
+    Heartbeat(Heartbeat),
+}
+
+impl SimulatedAgent {
+    /// Whether packets wait for the frozen agent process to read them.
+    pub fn has_unread_packets(&self) -> bool {
+        let mut unread = self.unread.iter();
+        unread.any(|message| matches!(message, Unread::Inbound(_)))
+    }
+}
+
 /// State of the simulation.
 pub struct Simulation {
     /// Virtual time.
@@ -320,6 +344,8 @@
             core,
             target,
             is_up: true,
+            is_frozen: false,
+            unread: Vec::new(),
             is_draining: false,
             instance: own,
             heartbeat_sequence: 0,
@@ -374,7 +400,11 @@
             capacity: u32::try_from(agent.target.capacity).expect("few slots"),
             cold_left_ms: 0,
         };
-        agent.core.handle_heartbeat(heartbeat, now_ms);
+        if agent.is_frozen {
+            agent.unread.push(Unread::Heartbeat(heartbeat));
+        } else {
+            agent.core.handle_heartbeat(heartbeat, now_ms);
+        }
     }
 
     /// Advances the virtual clock by `ms`.
@@ -396,12 +426,16 @@
                 let agent = &mut self.agents[index];
                 let responses = agent.target.advance(now_ms);
                 if agent.is_up {
-                    agent.core.tick(now_ms);
+                    if !agent.is_frozen {
+                        agent.core.tick(now_ms);
+                    }
                     for response in responses {
                         self.send_from_target(index, response);
                     }
                 }
-                self.dispatch_queued(index);
+                if !self.agents[index].is_frozen {
+                    self.dispatch_queued(index);
+                }
             }
             self.deliver_notices();
         }
@@ -422,7 +456,7 @@
                         .add_instance(instance.clone(), 1, None, self.now_ms);
                 }
             }
-            for agent in &mut self.agents {
+            for agent in self.agents.iter_mut().filter(|agent| !agent.is_frozen) {
                 if !is_listed(agent.instance.control_address) {
                     continue;
                 }
@@ -472,7 +506,11 @@
                 if let Some(agent) =
                     agents.find(|agent| agent.instance.control_address == to && agent.is_up)
                 {
-                    agent.core.handle_notice(from, notice, self.now_ms);
+                    if agent.is_frozen {
+                        agent.unread.push(Unread::Notice(from, notice));
+                    } else {
+                        agent.core.handle_notice(from, notice, self.now_ms);
+                    }
                 }
             }
         }
@@ -512,6 +550,33 @@
         self.agents[index].is_up = false;
     }
 
+    /// Freezes an agent process, which is sent more messages meanwhile.
+    pub fn freeze_agent(&mut self, index: usize) {
+        self.agents[index].is_frozen = true;
+    }
+
+    /// Ends the freeze of an agent process, which then reads its sockets: notices and heartbeats
+    /// first, then packets.
+    pub fn thaw_agent(&mut self, index: usize) {
+        self.agents[index].is_frozen = false;
+        let address = self.agents[index].instance.packet_address;
+        let now_ms = self.now_ms;
+        let mut unread = std::mem::take(&mut self.agents[index].unread);
+        unread.sort_by_key(|message| matches!(message, Unread::Inbound(_) | Unread::Outbound(_)));
+        for message in unread {
+            let core = &mut self.agents[index].core;
+            match message {
+                Unread::Inbound(bytes) => self.deliver_to_agent(address, bytes),
+                Unread::Outbound(bytes) => self.send_from_target(index, bytes),
+                Unread::Notice(from, notice) => core.handle_notice(from, notice, now_ms),
+                Unread::Heartbeat(heartbeat) => {
+                    core.handle_heartbeat(heartbeat, now_ms);
+                }
+            }
+        }
+        self.deliver_notices();
+    }
+
     /// Delivers a packet with this hop metadata to an agent, as if another instance had sent it.
     pub fn send_to_agent(&mut self, index: usize, mut bytes: Vec<u8>, hop: HopMetadata) {
         PlatformPacket.write_hop_metadata(&mut bytes, hop);
@@ -546,6 +611,10 @@
         if !self.agents[index].is_up {
             return;
         }
+        if self.agents[index].is_frozen {
+            self.agents[index].unread.push(Unread::Inbound(bytes));
+            return;
+        }
         let core = &mut self.agents[index].core;
         let verdict = core.handle_inbound(&mut bytes, self.now_ms);
         self.apply_verdict(index, bytes, verdict);
@@ -554,6 +623,10 @@
 
     /// Sends a packet from a target to its agent.
     fn send_from_target(&mut self, index: usize, mut bytes: Vec<u8>) {
+        if self.agents[index].is_frozen {
+            self.agents[index].unread.push(Unread::Outbound(bytes));
+            return;
+        }
         let core = &mut self.agents[index].core;
         let verdict = core.handle_outbound(&mut bytes, self.now_ms);
         self.apply_verdict(index, bytes, verdict);
