Do not take a missing reply of a target for a denial

What callers saw: an agent that has restarted beside a busy target resets flows that the target holds.

Cause: until the first heartbeat an agent does not know whether a target runs beside it. It kept a copy of each packet of an unknown flow and, when the target had not returned the packet within 30 ms, continued the search with the copy as if the target had denied the flow; all other targets then did deny it, and the last agent reset the caller while the target worked on the request. Three such packets made the target 'absent': its flows were then searched elsewhere without asking it, and searches passed it by. A target that holds a flow takes a packet and is silent until its response, so a missing reply shows nothing. It also acts where only agents are restarted, as planned work.

Change: the search still continues with the copy, so that a packet is not lost beside a dead target, but it is incomplete and ends without a reset. A target is absent only when its heartbeats are overdue.

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -97,6 +97,7 @@
     }
 
     /// Continues the search for packets that a target in an unknown state has not returned in time.
+    /// The target may hold their flows and be busy, so these searches end without a reset.
     pub(super) fn resume_unreturned(&mut self, now_ms: u64) {
         let is_overdue =
             |packet: &mut ProbePacket| now_ms.saturating_sub(packet.at_ms) >= PROBE_TIMEOUT_MS;
@@ -105,12 +106,21 @@
         {
             return;
         }
-        for ProbePacket { mut datagram, .. } in unreturned {
-            self.target.record_unreturned_packet();
+        for ProbePacket {
+            flow, mut datagram, ..
+        } in unreturned
+        {
             let Some(segment) = self.format.decode(&datagram) else {
                 continue;
             };
-            let hop = self.format.read_hop_metadata(&datagram);
+            let gap = SearchGap::TargetSilent;
+            self.peering
+                .decisions
+                .push(Decision::SearchIncomplete { flow, gap });
+            let hop = HopMetadata {
+                is_incomplete: true,
+                ..self.format.read_hop_metadata(&datagram)
+            };
             let verdict = self.continue_search(&mut datagram, &segment, hop, now_ms);
             self.dispatched.push((datagram, verdict));
         }
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -68,6 +68,9 @@
     /// An agent that another agent knows was not asked, because the one before it in the rendezvous
     /// order does not know it.
     AgentSkipped,
+    /// The target of an agent that has just started neither returned the packet nor sent a
+    /// heartbeat.
+    TargetSilent,
     /// An agent that may hold the flow is silent.
     AgentSilent {
         /// Name of the agent.
@@ -82,6 +85,7 @@
         match self {
             Self::InstancesUnknown => "instances_unknown",
             Self::AgentSkipped => "agent_skipped",
+            Self::TargetSilent => "target_silent",
             Self::AgentSilent { .. } => "agent_silent",
         }
     }
@@ -380,7 +384,9 @@
             let reason = gap.name();
             let (awaited, silent_ms) = match gap {
                 SearchGap::AgentSilent { agent, silent_ms } => (Some(agent), silent_ms),
-                SearchGap::InstancesUnknown | SearchGap::AgentSkipped => (None, 0),
+                SearchGap::InstancesUnknown | SearchGap::AgentSkipped | SearchGap::TargetSilent => {
+                    (None, 0)
+                }
             };
             info!(log, "flow search incomplete"; "flow" => %flow, "reason" => reason,
                 "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -10,9 +10,6 @@
 /// Number of heartbeat intervals after startup of the agent within which a running target sends a
 /// heartbeat.
 const STARTUP_INTERVALS: u64 = 2;
-/// Number of unreturned packets of unknown flows after which a target that has sent no heartbeat
-/// yet counts as absent. A single packet may be lost.
-const ABSENT_AFTER_PACKETS: u32 = 3;
 /// Time within which even a busy target replies to a SYN, with a margin for a paused machine.
 const SYN_RESPONSE_MS: u64 = 120;
 /// Number of unanswered SYNs from which a target may count as unresponsive.
@@ -89,9 +86,6 @@
     started_at_ms: u64,
     /// Time of the target's last packet of a flow that it holds; `None` before the first one.
     last_packet_at_ms: Option<u64>,
-    /// Packets of unknown flows that the target has not returned, since its last packet or
-    /// heartbeat.
-    unreturned_packets: u32,
 }
 
 impl Target {
@@ -116,7 +110,6 @@
             expected_service: None,
             started_at_ms: 0,
             last_packet_at_ms: None,
-            unreturned_packets: 0,
         }
     }
 
@@ -156,13 +149,12 @@
         self.is_exiting || self.last_heartbeat.is_none() && self.is_absent(now_ms)
     }
 
-    /// Whether no target seems to be running. A running one would have sent a heartbeat by now, or
-    /// would have returned packets of unknown flows.
+    /// Whether no target seems to be running. A running one would have sent a heartbeat by now.
+    /// Packets that it does not return prove nothing: it may hold their flows and be busy.
     fn is_absent(&self, now_ms: u64) -> bool {
         let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
         let is_overdue = uptime_ms > STARTUP_INTERVALS * self.heartbeat_interval_ms;
-        self.last_packet_at_ms.is_none()
-            && (is_overdue || self.unreturned_packets >= ABSENT_AFTER_PACKETS)
+        self.last_packet_at_ms.is_none() && is_overdue
     }
 
     /// The last heartbeat that was not stale; `None` before the first one.
@@ -259,12 +251,6 @@
     pub fn record_activity(&mut self) {
         self.unanswered_since_ms = None;
         self.unanswered_syns = 0;
-        self.unreturned_packets = 0;
-    }
-
-    /// Records that the target has not returned a packet of an unknown flow in time.
-    pub fn record_unreturned_packet(&mut self) {
-        self.unreturned_packets += 1;
     }
 
     /// Whether the target has left SYNs unanswered for too long.
