Reply at once to an instance that has joined

What callers saw: nothing by itself; it prolongs the time in which a started process knows only some of the others, the condition of the reset open flows.

Cause: Directory::handle_presence reported a changed target state in place of the join whenever the message carried a load, so Peering::handle_presence sent a started agent no reply, and the agent knew the others only after their next round of presence messages (200 ms, 1.3 s with 190 instances).

Change: the join takes precedence.

Evidence: a_started_agent_is_sent_replies_at_once (tests/resets.rs) failed before, naming all others as not heard from, and passes.

--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -259,7 +259,10 @@
             self.generation += 1;
         }
         match presence.load {
-            Some(load) => self.update_load(index, load, now_ms).or(change),
+            Some(load) => {
+                let target_change = self.update_load(index, load, now_ms);
+                change.or(target_change)
+            }
             None => change,
         }
     }
