Await agents that leave beside a target with flows

What callers saw: by a test, an open flow is reset while the agent beside its target restarts, as planned work does on the larger deployments.

Cause: an agent that has announced its exit was neither asked by searches nor awaited, so that a search which could not ask it still ended with a reset. It also removed its entry from the store, so that agents that started in the meantime did not know of it at all. Both take a stopping agent for a target that is gone; targets announce their own exit.

Change: a leaving agent is awaited like a silent one, unless its last message says that its target holds no flows (a target that has announced its exit holds none). An agent whose target holds flows leaves its entry to expire.

The simulated store lists an agent that stays registered.

--- a/src/forward/agent_driver.rs
+++ b/src/forward/agent_driver.rs
@@ -127,7 +127,11 @@
             self.decisions
                 .record(&mut self.core.peering.decisions, now_ms);
         }
-        self.io.deregister(&store, &self.log).await;
+        if self.core.stays_registered(self.clock.now_ms()) {
+            info!(self.log, "registration left to expire"; "flows" => self.core.flows());
+        } else {
+            self.io.deregister(&store, &self.log).await;
+        }
     }
 
     /// Handles a command. Returns whether it is the stop command.
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -149,6 +149,12 @@
         self.is_exiting || self.last_heartbeat.is_none() && self.is_absent(now_ms)
     }
 
+    /// Whether the target has announced its exit, so that it holds no flows any more.
+    #[must_use]
+    pub fn has_exited(&self) -> bool {
+        self.is_exiting
+    }
+
     /// Whether no target seems to be running. A running one would have sent a heartbeat by now.
     /// Packets that it does not return prove nothing: it may hold their flows and be busy.
     fn is_absent(&self, now_ms: u64) -> bool {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -442,17 +442,17 @@
         weight(flow_hash, name_hash(&self.local_name))
     }
 
-    /// A silent agent whose target may still have flows of `service`, if there is one.
+    /// A silent or leaving agent whose target may still have flows of `service`, if there is one.
     ///
     /// While there is such an agent, a search that does not find a flow is inconclusive, because
-    /// the agent may recover together with its target's flows.
+    /// the agent may recover or restart beside a target that has kept its flows.
     #[must_use]
     pub fn awaited_agent(&self, service: &str, now_ms: u64) -> Option<&Member> {
         self.members.iter().find(|member| {
             let silent_ms = member.silent_ms(now_ms);
             let is_agent = member.instance.role == InstanceRole::Agent;
             let may_serve = member.load.service.is_none() || member.serves(service);
-            if !is_agent || !may_serve || member.is_leaving {
+            if !is_agent || !may_serve {
                 return false;
             }
             if member.is_confirmed {
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -196,6 +196,8 @@
     /// Whether the agent process is running. All packets and notices to and from a stopped agent
     /// are lost.
     pub is_up: bool,
+    /// Whether the store lists the agent although its process is stopped.
+    stays_registered: bool,
     /// Whether the agent process is frozen: it reads what it is sent only afterwards.
     pub is_frozen: bool,
     /// Unread messages of a frozen agent, in order of arrival.
@@ -344,6 +346,7 @@
             core,
             target,
             is_up: true,
+            stays_registered: false,
             is_frozen: false,
             unread: Vec::new(),
             is_draining: false,
@@ -417,7 +420,7 @@
             self.now_ms += self.tick_ms;
             let now_ms = self.now_ms;
             if now_ms % TICK_MS < self.tick_ms {
-                self.add_running_instances();
+                self.add_registered_instances();
             }
             for core in &mut self.balancers {
                 core.tick(now_ms);
@@ -441,10 +444,11 @@
         }
     }
 
-    /// Simulates a read of the store: adds every running instance to every directory.
-    fn add_running_instances(&mut self) {
-        let running = self.agents.iter().filter(|agent| agent.is_up);
-        let mut instances: Vec<_> = running.map(|agent| agent.instance.clone()).collect();
+    /// Simulates a read of the store: adds every registered instance to every directory.
+    fn add_registered_instances(&mut self) {
+        let agents = self.agents.iter();
+        let registered = agents.filter(|agent| agent.is_up || agent.stays_registered);
+        let mut instances: Vec<_> = registered.map(|agent| agent.instance.clone()).collect();
         let balancers = self.balancers.iter();
         instances.extend(balancers.map(|core| core.peering.local_instance().clone()));
         for instance in &instances {
@@ -547,7 +551,9 @@
         let version = agent.core.route_version();
         agent.core.peering.leave(version, load, self.now_ms);
         self.deliver_notices();
-        self.agents[index].is_up = false;
+        let agent = &mut self.agents[index];
+        agent.is_up = false;
+        agent.stays_registered = agent.core.stays_registered(self.now_ms);
     }
 
     /// Freezes an agent process, which is sent more messages meanwhile.
