Do not count a flow as open whose SYN the target has not answered

What callers saw: an open flow is reset, with a valid sequence number, by an agent whose target never had it.

Cause: a first SYN whose target does not answer leaves an entry in its handshake at the agent. A later copy opens the flow at another target. A packet of the caller that reaches the first agent, which the balancer's table still names, made the entry open although the target had sent no SYN+ACK that it could acknowledge: the agent registered itself as owner and, when its target restarted, reset the flow with the caller's own acknowledgement number.

Change: in the handshake, a packet of the caller belongs to another target unless this one has sent a SYN+ACK that it acknowledges. All packets of the target pass the agent, so it knows.

Evidence: the_restart_of_a_target_does_not_reset_a_flow_that_it_never_accepted failed before and passes; ownership, overload, slot_requests and platform_run pass.

The reset comes from the agent of another target and is valid on the open flow, as in the users' record; whether it was this one there cannot be told from the record.

--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -60,10 +60,10 @@
 
 impl AgentFlow {
     /// Whether the caller's packet acknowledges the SYN+ACK of another target, which received a
-    /// retransmission of the SYN.
+    /// retransmission of the SYN. It does if this target has not sent one.
     fn acknowledges_other_target(&self, segment: &Segment) -> bool {
         self.stage == Stage::Handshake
-            && self.syn_ack_sequence.is_some_and(|sequence| {
+            && self.syn_ack_sequence.is_none_or(|sequence| {
                 segment.acknowledged.wrapping_sub(sequence) > MAX_HANDSHAKE_ACK_DISTANCE
             })
     }
