--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -190,6 +190,7 @@
 }
 
 /// An agent and its local target.
+#[allow(clippy::struct_excessive_bools)] // These are independent conditions.
 pub struct SimulatedAgent {
     pub core: AgentCore<PlatformPacket>,
     pub target: SimulatedTarget,
