--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -7,7 +7,10 @@
     forward::balancer::Verdict,
     membership::{instance::TargetState, rendezvous::tag},
 };
-use simulation::{ACK, SERVICE, Simulation, datagram, flow, packet::HEADER_LEN, request, syn};
+use proptest::{prelude::*, test_runner::RngSeed};
+use simulation::{
+    ACK, RST, SERVICE, SYN, Simulation, caller, datagram, flow, packet::HEADER_LEN, request, syn,
+};
 
 /// Number of agents in most simulations.
 const AGENTS: u8 = 6;
@@ -63,6 +66,23 @@
     }
 }
 
+// A balancer that has not heard from the first agents for a while, the owner among them, must not
+// cause a reset.
+#[test]
+fn a_balancer_that_suspects_the_owner_causes_no_reset() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 0);
+    let balancer = sim.balancer_address(1);
+    for index in &order[..2] {
+        sim.lost_notices
+            .insert((sim.agent_address(*index), balancer));
+    }
+    sim.advance(1_000);
+    sim.send_from_caller(1, request(number));
+    assert!(!sim.was_reset(number));
+    assert_eq!(sim.request_count(number), 1);
+}
+
 // An agent that does not know the owner must not end the flow; once it does, the flow is served.
 #[test]
 fn an_agent_that_does_not_know_the_owner_does_not_end_the_search() {
@@ -473,3 +493,302 @@
     assert!(!sim.was_reset(1));
     assert!(sim.agents[owner].target.requests.len() >= 2);
 }
+
+/// An event of a random schedule, with the number of the instance that it happens to.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A caller opens a flow, with its first SYN through this balancer.
+    Open(usize),
+    /// Every caller with an open flow sends a request through this balancer.
+    Requests(usize),
+    RestartBalancer(usize),
+    RestartAgent(usize),
+    /// An agent announces its exit and stops, or starts again if it is stopped.
+    LeaveOrReturn(usize),
+    /// The notices of an agent to a balancer (below 3) or an agent (the others) are lost, or arrive
+    /// again.
+    LoseNotices(usize, usize),
+    RestartTarget(usize),
+    /// The target of an agent starts or stops draining.
+    Drain(usize),
+    /// An agent freezes or thaws.
+    Freeze(usize),
+    Advance(u64),
+}
+
+impl Event {
+    /// The event with the number of the agent reduced modulo `agents`.
+    fn modulo(self, agents: usize) -> Self {
+        match self {
+            Self::RestartAgent(index) => Self::RestartAgent(index % agents),
+            Self::LeaveOrReturn(index) => Self::LeaveOrReturn(index % agents),
+            Self::LoseNotices(index, receiver) => {
+                Self::LoseNotices(index % agents, receiver % (3 + agents))
+            }
+            Self::RestartTarget(index) => Self::RestartTarget(index % agents),
+            Self::Drain(index) => Self::Drain(index % agents),
+            Self::Freeze(index) => Self::Freeze(index % agents),
+            Self::Open(_) | Self::Requests(_) | Self::RestartBalancer(_) | Self::Advance(_) => self,
+        }
+    }
+}
+
+/// Random events: the common ones, and those of the given kinds.
+fn events(kinds: &[fn(usize, usize) -> Event]) -> impl Strategy<Value = Vec<Event>> + use<> {
+    let kinds = kinds.to_vec();
+    let kind = prop::sample::select(kinds);
+    let event = prop_oneof![
+        1 => (0..3_usize).prop_map(Event::Open),
+        3 => (0..3_usize).prop_map(Event::Requests),
+        3 => prop::sample::select(vec![10, 20, 50, 100, 200, 500, 1_000, 2_000])
+            .prop_map(Event::Advance),
+        4 => (kind, 0..6_usize, 0..9_usize).prop_map(|(kind, index, other)| kind(index, other)),
+    ];
+    prop::collection::vec(event, 1..40)
+}
+
+/// Number of agents, slots of each target and time of a request in milliseconds.
+type Targets = (u8, usize, u64);
+
+/// A run of a random schedule.
+struct Run {
+    sim: Simulation,
+    /// Flows whose callers have received a SYN+ACK and no reset.
+    open: Vec<u16>,
+    /// Time, number and transmission number of each SYN that a caller still has to send.
+    syns: Vec<(u64, u16, u32)>,
+    /// Number of flows that callers have attempted to open.
+    attempts: u16,
+    /// Number of packets to callers that have been handled.
+    handled: usize,
+    /// Balancer that receives the next SYN.
+    next_balancer: usize,
+}
+
+impl Run {
+    fn new((agents, capacity, service_ms): Targets) -> Self {
+        let mut sim = Simulation::new(3, agents, capacity, service_ms);
+        for (index, agent) in sim.agents.iter_mut().enumerate() {
+            agent.target.sequence = 1_000_000 * u32::try_from(index).unwrap();
+        }
+        let mut run = Self {
+            sim,
+            open: Vec::new(),
+            syns: Vec::new(),
+            attempts: 0,
+            handled: 0,
+            next_balancer: 0,
+        };
+        (0..4).for_each(|balancer| run.apply(Event::Open(balancer)).expect("no event yet"));
+        run.apply(Event::Advance(100)).expect("no event yet");
+        run
+    }
+
+    /// Index of an agent that is running and whose target holds a flow.
+    fn holder(&self, number: u16) -> Option<usize> {
+        let key = flow(number);
+        let mut agents = self.sim.agents.iter();
+        agents.position(|agent| agent.is_up && agent.target.flows.contains(&key))
+    }
+
+    /// Applies an event, and returns an error if an open flow is reset by mistake. A process that
+    /// starts reads the store before it reads any packet.
+    fn apply(&mut self, event: Event) -> Result<(), String> {
+        let event = event.modulo(self.sim.agents.len());
+        let starts_process = match event {
+            Event::RestartBalancer(_) | Event::RestartAgent(_) => true,
+            Event::LeaveOrReturn(index) => !self.sim.agents[index].is_up,
+            _ => false,
+        };
+        self.apply_now(event)?;
+        if starts_process {
+            self.apply_now(Event::Advance(10))?;
+        }
+        Ok(())
+    }
+
+    fn apply_now(&mut self, event: Event) -> Result<(), String> {
+        let sim = &mut self.sim;
+        match event {
+            Event::Open(balancer) => {
+                self.next_balancer = balancer % 3;
+                for (transmission, delay_ms) in [(0, 0), (1, 200), (2, 600)] {
+                    let at_ms = sim.now_ms + delay_ms;
+                    self.syns.push((at_ms, self.attempts, transmission));
+                }
+                self.attempts += 1;
+            }
+            Event::Requests(balancer) => {
+                for number in self.open.clone() {
+                    let Some(holder) = self.holder(number) else {
+                        continue;
+                    };
+                    let key = flow(number);
+                    let acknowledged = self.sim.agents[holder].target.sequence + 1;
+                    let bytes = datagram(key.caller, key.service, ACK, 8, acknowledged, 100);
+                    self.sim.send_from_caller(balancer % 3, bytes);
+                }
+            }
+            Event::RestartBalancer(index) => sim.restart_balancer(index % 3),
+            Event::LeaveOrReturn(index) if sim.agents[index].is_up => sim.leave_agent(index),
+            Event::RestartAgent(index) | Event::LeaveOrReturn(index) => sim.restart_agent(index),
+            Event::LoseNotices(index, receiver) => {
+                let pair = match receiver {
+                    0..3 => (sim.agent_address(index), sim.balancer_address(receiver)),
+                    _ => (sim.agent_address(index), sim.agent_address(receiver - 3)),
+                };
+                if !sim.lost_notices.remove(&pair) {
+                    sim.lost_notices.insert(pair);
+                }
+            }
+            Event::RestartTarget(index) => {
+                let sequence = sim.agents[index].target.sequence + 100_000_000;
+                sim.restart_target(index);
+                sim.agents[index].target.sequence = sequence;
+            }
+            Event::Drain(index) => sim.agents[index].is_draining ^= true,
+            Event::Freeze(index) if sim.agents[index].is_frozen => sim.thaw_agent(index),
+            Event::Freeze(index) => sim.freeze_agent(index),
+            Event::Advance(ms) => {
+                let end_ms = sim.now_ms + ms;
+                while self.sim.now_ms < end_ms {
+                    self.send_syns();
+                    self.sim.advance(10);
+                    self.handle_received()?;
+                }
+            }
+        }
+        self.handle_received()
+    }
+
+    /// Sends the SYNs that are due, except those of flows that have been answered.
+    fn send_syns(&mut self) {
+        let now_ms = self.sim.now_ms;
+        let due: Vec<_> = self
+            .syns
+            .extract_if(.., |(at_ms, _, _)| *at_ms <= now_ms)
+            .collect();
+        for (_, number, transmission) in due {
+            let to = caller(number);
+            if !self.sim.received.iter().any(|(_, other, _)| *other == to) {
+                self.sim
+                    .send_from_caller(self.next_balancer, syn(number, transmission));
+                self.next_balancer = (self.next_balancer + 1) % 3;
+            }
+        }
+    }
+
+    /// Lets callers handle what they have received. Returns an error if a caller was sent a reset
+    /// whose flow a target holds beside a running agent.
+    fn handle_received(&mut self) -> Result<(), String> {
+        while let Some((at_ms, to, flags)) = self.sim.received.get(self.handled).copied() {
+            self.handled += 1;
+            let number = (0..self.attempts).find(|number| caller(*number) == to);
+            let number = number.expect("only these callers send packets");
+            let is_open = self.open.contains(&number);
+            if flags & RST != 0 && is_open {
+                if let Some(index) = self.holder(number) {
+                    return Err(format!(
+                        "flow {number} at agent {index} was reset at {at_ms} ms"
+                    ));
+                }
+                self.open.retain(|other| *other != number);
+            } else if flags == SYN | ACK
+                && !is_open
+                && !self.sim.was_reset(number)
+                && let Some(holder) = self.holder(number)
+            {
+                self.open.push(number);
+                let acknowledged = self.sim.agents[holder].target.sequence + 1;
+                let key = flow(number);
+                let bytes = datagram(key.caller, key.service, ACK, 8, acknowledged, 0);
+                let balancer = (self.next_balancer + 2) % 3;
+                self.sim.send_from_caller(balancer, bytes);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Applies events until an open flow is reset by mistake.
+fn check_schedule(targets: Targets, schedule: &[Event]) -> Result<(), TestCaseError> {
+    let mut run = Run::new(targets);
+    for event in schedule {
+        run.apply(*event).map_err(TestCaseError::fail)?;
+    }
+    let end = run.apply(Event::Advance(1_000));
+    end.map_err(TestCaseError::fail)
+}
+
+/// Random targets.
+fn targets() -> impl Strategy<Value = Targets> {
+    let agents = prop::sample::select(vec![2, 3, AGENTS]);
+    let capacity = prop::sample::select(vec![1, 5]);
+    (agents, capacity, prop::sample::select(vec![10, 60, 150]))
+}
+
+const RESTART_BALANCER: fn(usize, usize) -> Event = |index, _| Event::RestartBalancer(index % 3);
+const RESTART_AGENT: fn(usize, usize) -> Event = |index, _| Event::RestartAgent(index);
+const LEAVE_OR_RETURN: fn(usize, usize) -> Event = |index, _| Event::LeaveOrReturn(index);
+const RESTART_TARGET: fn(usize, usize) -> Event = |index, _| Event::RestartTarget(index);
+const DRAIN: fn(usize, usize) -> Event = |index, _| Event::Drain(index);
+const FREEZE: fn(usize, usize) -> Event = |index, _| Event::Freeze(index);
+
+/// Configuration with the same cases in each run, unless the environment sets another seed.
+fn fixed_cases() -> ProptestConfig {
+    let config = ProptestConfig::default();
+    let rng_seed = match config.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(1),
+        fixed @ RngSeed::Fixed(_) => fixed,
+    };
+    ProptestConfig { rng_seed, ..config }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    // Restarts alone do not reset an open flow.
+    #[test]
+    fn no_schedule_of_restarts_resets_an_open_flow(
+        targets in targets(),
+        schedule in events(&[RESTART_BALANCER, RESTART_AGENT])
+    ) {
+        check_schedule(targets, &schedule)?;
+    }
+
+    // Agents that stop, return or start late do not reset the open flows of others.
+    #[test]
+    fn no_schedule_of_late_starts_resets_an_open_flow(
+        targets in targets(),
+        schedule in events(&[RESTART_BALANCER, LEAVE_OR_RETURN])
+    ) {
+        check_schedule(targets, &schedule)?;
+    }
+
+    // Lost notices do not reset an open flow.
+    #[test]
+    fn no_schedule_of_lost_notices_resets_an_open_flow(
+        targets in targets(),
+        schedule in events(&[RESTART_BALANCER, RESTART_AGENT, Event::LoseNotices])
+    ) {
+        check_schedule(targets, &schedule)?;
+    }
+
+    // Restarts of targets reset only the flows that are lost with them.
+    #[test]
+    fn no_schedule_of_target_restarts_resets_an_open_flow(
+        targets in targets(),
+        schedule in events(&[RESTART_TARGET, DRAIN])
+    ) {
+        check_schedule(targets, &schedule)?;
+    }
+
+    // Frozen agents do not reset an open flow.
+    #[test]
+    fn no_schedule_of_freezes_resets_an_open_flow(
+        targets in targets(),
+        schedule in events(&[FREEZE, DRAIN])
+    ) {
+        check_schedule(targets, &schedule)?;
+    }
+}
