--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -242,6 +242,37 @@
     assert_eq!(sim.request_count(number), 1);
 }
 
+// A report that a target is absent must not hide the flows that it has opened since.
+#[test]
+fn an_old_report_of_an_absent_target_does_not_hide_its_flow() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let owner = 0;
+    sim.agents[owner].target.is_silent = true;
+    sim.restart_agent(owner);
+    sim.advance(1_980);
+    let state = sim.agents[owner].core.target.state(sim.now_ms);
+    assert_eq!(state, TargetState::Absent);
+    let number = (0..200).find(|number| sim.flow_order(*number)[1] == owner);
+    let number = number.expect("the agent is second in the order of some flow");
+    let first = sim.flow_order(number)[0];
+    let pair = (sim.agent_address(owner), sim.agent_address(first));
+    sim.lost_notices.insert(pair);
+    sim.agents[owner].target.is_silent = false;
+    sim.advance(30);
+    let hop = HopMetadata {
+        service_tag: tag(SERVICE),
+        entry_tag: tag("balancer-0"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(owner, syn(number, 0), hop);
+    assert!(sim.agents[owner].target.flows.contains(&flow(number)));
+    sim.send_to_agent(owner, request(number), HopMetadata::default());
+    sim.advance(30);
+    sim.send_from_caller(1, request(number));
+    assert!(!sim.was_reset(number));
+    assert_eq!(sim.request_count(number), 2);
+}
+
 // Agents that start while the owner's agent is stopped know it from nowhere.
 #[test]
 fn a_flow_of_an_agent_that_left_is_not_reset_by_agents_started_later() {
