Ask agents without a target in a search

What callers saw: by a test, an open flow is reset while the report about its target is up to 200 ms old.

Cause: searches skipped agents whose last report says that no target runs beside them. The report may be older than the target: one that has started since, and has opened a flow, was not asked, and as its agent was alive, nobody waited for it either.

Change: a search asks every live agent of the service; one without a target passes the packet on at once, so that only a hop is lost. Registry agents are still chosen among those with a target, because the others may be removed at any time.

Evidence: an_old_report_of_an_absent_target_does_not_hide_its_flow failed before and passes.

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -148,7 +148,7 @@
         let hash = flow_hash(flow);
         for rank in 0..OWNER_REPLICAS {
             let directory = &self.peering.directory;
-            let Some(registry_agent) = directory.nth_in_flow_order(hash, &service, rank, now_ms)
+            let Some(registry_agent) = directory.registry_agent(hash, &service, rank, now_ms)
             else {
                 return;
             };
@@ -182,13 +182,17 @@
                 .push(Decision::Dropped { flow, reason });
             return AgentVerdict::Drop;
         };
+        let registry_step = match hop.lookup {
+            Lookup::Known => self.registry_step(hash, &service, hop, now_ms),
+            Lookup::Registry | Lookup::Registered | Lookup::Search => None,
+        };
         let SearchStep {
             next,
             lookup,
             tried,
             unasked,
             gap,
-        } = self.search_step(hash, &service, hop, now_ms);
+        } = registry_step.unwrap_or_else(|| self.search_step(hash, &service, hop, now_ms));
         let is_last = next.is_none();
         let is_incomplete = hop.is_incomplete || gap.is_some();
         if let Some(gap) = gap.filter(|_| !hop.is_incomplete) {
@@ -242,18 +246,39 @@
         AgentVerdict::Drop
     }
 
+    /// The step from a balancer's cached owner that does not hold the flow to a registry agent.
+    /// `None` if there is none but this agent.
+    fn registry_step(
+        &self,
+        hash: u64,
+        service: &str,
+        hop: HopMetadata,
+        now_ms: u64,
+    ) -> Option<SearchStep> {
+        let directory = &self.peering.directory;
+        let ranks = 0..OWNER_REPLICAS;
+        let mut agents =
+            ranks.filter_map(|rank| directory.registry_agent(hash, service, rank, now_ms));
+        let agent = agents.find(|member| !directory.is_local(member))?;
+        Some(SearchStep {
+            next: Some(agent.instance.clone()),
+            lookup: Lookup::Registry,
+            tried: hop.tried.saturating_add(1),
+            unasked: 0,
+            gap: None,
+        })
+    }
+
     /// The next step of a search of the agents of `service`.
     fn search_step(&self, hash: u64, service: &str, hop: HopMetadata, now_ms: u64) -> SearchStep {
         let directory = &self.peering.directory;
         // A search starts at the top of the order, whichever agent a balancer took for the flow's
         // registry agent: balancers may know only some of the agents.
-        let (below, lookup, tried) = match hop.lookup {
-            Lookup::Known => (u64::MAX, Lookup::Registry, hop.tried.saturating_add(1)),
-            Lookup::Registry | Lookup::Registered => (u64::MAX, Lookup::Search, 0),
-            Lookup::Search => {
-                let local_weight = directory.local_weight(hash);
-                (local_weight, Lookup::Search, hop.tried.saturating_add(1))
-            }
+        let (below, tried) = if hop.lookup == Lookup::Search {
+            let local_weight = directory.local_weight(hash);
+            (local_weight, hop.tried.saturating_add(1))
+        } else {
+            (u64::MAX, 0)
         };
         let agent_below = |below| directory.next_in_flow_order(hash, service, below, now_ms);
         let (next, below, tried) = match agent_below(below) {
@@ -285,7 +310,7 @@
         };
         SearchStep {
             next: next.map(|ranked| ranked.member.instance.clone()),
-            lookup,
+            lookup: Lookup::Search,
             tried,
             unasked,
             gap,
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -236,7 +236,7 @@
         let directory = &self.peering.directory;
         let service = self.routes.service(flow.service, hash);
         let registry_agent =
-            service.and_then(|service| directory.nth_in_flow_order(hash, &service, 0, now_ms));
+            service.and_then(|service| directory.registry_agent(hash, &service, 0, now_ms));
         let Some(registry_agent) = registry_agent else {
             let reason = Reason::FlowNotFound;
             self.peering
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -133,6 +133,15 @@
     pub member: &'a Member,
 }
 
+impl<'a> RankedMember<'a> {
+    fn new(member: &'a Member, flow_hash: u64) -> Self {
+        Self {
+            weight: weight(flow_hash, member.name_hash),
+            member,
+        }
+    }
+}
+
 /// Known instances, sorted by name.
 #[derive(Clone, Debug)]
 pub struct Directory {
@@ -335,9 +344,12 @@
         names
     }
 
-    /// The live agent of a service at position `rank` of a flow's rendezvous order, starting at 0.
+    /// The live agent of a service at position `rank` of a flow's rendezvous order, starting at 0, as
+    /// a registry agent of the flow.
+    ///
+    /// Agents without a target are skipped, because they may be removed at any time.
     #[must_use]
-    pub fn nth_in_flow_order(
+    pub fn registry_agent(
         &self,
         flow_hash: u64,
         service: &str,
@@ -347,7 +359,12 @@
         let mut below_weight = u64::MAX;
         let mut found = None;
         for _ in 0..=rank {
-            let next = self.next_in_flow_order(flow_hash, service, below_weight, now_ms)?;
+            let next = self
+                .searched_agents(service, now_ms)
+                .filter(|member| member.load.state != TargetState::Absent)
+                .map(|member| RankedMember::new(member, flow_hash))
+                .filter(|ranked| ranked.weight < below_weight)
+                .max_by_key(|ranked| ranked.weight)?;
             below_weight = next.weight;
             found = Some(next.member);
         }
@@ -367,10 +384,7 @@
         now_ms: u64,
     ) -> Option<RankedMember<'_>> {
         self.searched_agents(service, now_ms)
-            .map(|member| RankedMember {
-                weight: weight(flow_hash, member.name_hash),
-                member,
-            })
+            .map(|member| RankedMember::new(member, flow_hash))
             .filter(|ranked| ranked.weight < below_weight)
             .max_by_key(|ranked| ranked.weight)
     }
@@ -405,15 +419,11 @@
             .count()
     }
 
-    /// Agents of a service that are included in the rendezvous orders of flows.
-    ///
-    /// Agents without a target are not: they have no flows and may be removed at any time.
+    /// Live agents of a service, which a search for a flow asks. Those without a target are among
+    /// them: their last report may be older than their target.
     fn searched_agents(&self, service: &str, now_ms: u64) -> impl Iterator<Item = &Member> {
-        self.members.iter().filter(move |member| {
-            member.serves(service)
-                && member.is_alive(now_ms)
-                && member.load.state != TargetState::Absent
-        })
+        let members = self.members.iter();
+        members.filter(move |member| member.serves(service) && member.is_alive(now_ms))
     }
 
     /// Whether more than half of the other balancers of a failure domain are alive and in rotation,
