--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -278,11 +278,10 @@
     pub fn handle_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) -> bool {
         let (id, sequence) = (Arc::clone(&heartbeat.id), heartbeat.sequence);
         let before = self.target.state(now_ms);
-        let previous_heartbeat_at_ms = self.target.heartbeat_at_ms();
         let outcome = self.target.apply_heartbeat(heartbeat, now_ms);
         self.flows.set_capacity(self.capacity());
         if outcome == HeartbeatOutcome::Restarted {
-            self.drop_lost_flows(previous_heartbeat_at_ms, now_ms);
+            self.drop_lost_flows();
         }
         let state = self.target.state(now_ms);
         if matches!(
@@ -312,12 +311,9 @@
         }
     }
 
-    /// Removes the flows lost in a restart of the target and records the open ones for a reset.
-    ///
-    /// A flow created after the last heartbeat of the previous incarnation may be held by the new
-    /// one. It is kept: the target returns its next packet if it does not hold it.
-    fn drop_lost_flows(&mut self, previous_heartbeat_at_ms: u64, now_ms: u64) {
-        for (flow, entry) in self.flows.remove_lost(previous_heartbeat_at_ms, now_ms) {
+    /// Removes all flows after a restart of the target and records the open ones for a reset.
+    fn drop_lost_flows(&mut self) {
+        for (flow, entry) in self.flows.clear() {
             self.peering.decisions.push(Decision::FlowLost { flow });
             self.lost_flows.push((flow, entry));
         }
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -43,8 +43,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct AgentFlow {
     stage: Stage,
-    /// Time at which the target was sent the SYN, or at which the agent learned of the flow.
-    created_at_ms: u64,
     /// Time of the last packet in either direction.
     last_packet_at_ms: u64,
     /// Arrival time of the request in progress; `None` if there is none.
@@ -250,7 +248,6 @@
         }
         let entry = AgentFlow {
             stage: Stage::Handshake,
-            created_at_ms: now_ms,
             last_packet_at_ms: now_ms,
             request_started_at_ms: None,
             request_end_sequence: 0,
@@ -315,7 +312,6 @@
         }
         let entry = self.flows.entry(flow).or_insert(AgentFlow {
             stage: Stage::Open,
-            created_at_ms: now_ms,
             last_packet_at_ms: now_ms,
             request_started_at_ms: None,
             request_end_sequence: segment.acknowledged,
@@ -371,22 +367,13 @@
         }
     }
 
-    /// Removes the flows created before `before_ms` after a restart of the target, and returns the
-    /// open ones.
-    pub fn remove_lost(&mut self, before_ms: u64, now_ms: u64) -> Vec<(FlowKey, AgentFlow)> {
-        let is_lost = |_: &FlowKey, entry: &mut AgentFlow| entry.created_at_ms < before_ms;
-        let lost: Vec<_> = self.flows.extract_if(is_lost).collect();
-        let flows = &self.flows;
-        self.awaiting_request
-            .retain(|(flow, _)| flows.contains_key(flow));
-        let in_progress = flows.values().filter(|f| f.request_started_at_ms.is_some());
-        self.requests = u32::try_from(in_progress.count()).unwrap_or(u32::MAX);
-        self.service_time = ServiceTime {
-            accumulated_at_ms: now_ms,
-            ..ServiceTime::default()
-        };
-        let open = lost.into_iter().filter(|(_, f)| f.stage == Stage::Open);
-        open.collect()
+    /// Removes all flows and returns the open ones.
+    pub fn clear(&mut self) -> Vec<(FlowKey, AgentFlow)> {
+        self.requests = 0;
+        self.awaiting_request.clear();
+        self.service_time = ServiceTime::default();
+        let flows = std::mem::take(&mut self.flows).into_iter();
+        flows.filter(|(_, f)| f.stage == Stage::Open).collect()
     }
 
     /// Stops counting flows as occupied slots whose first request is overdue.
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -169,12 +169,6 @@
         self.last_heartbeat.as_ref()
     }
 
-    /// Arrival time of the last heartbeat that was not stale; 0 before the first one.
-    #[must_use]
-    pub fn heartbeat_at_ms(&self) -> u64 {
-        self.heartbeat_at_ms
-    }
-
     /// Remaining time for which the target is slow after startup, in milliseconds; 0 if it is not
     /// slow.
     #[must_use]
