Do not forward a reset of a target that does not hold the flow

Cause: a target that has just started returns SYNs, but answers data of a flow that it does not hold with a reset instead of returning it. Data reaches it while the balancer does not know yet that the SYN was redirected, and in any search. Its agent forwarded the reset, which carries the caller's own numbers, to the caller, although another target had opened the flow.

Change: a reset of the target is forwarded only if its agent knows that the flow was opened there. Otherwise it is a denial: the agent keeps copies of packets of unknown flows for 30 ms and continues the search with them.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -85,7 +85,7 @@
     /// Slot requests and grants exchanged with the sibling agents, which are the other agents of
     /// the service.
     pub(super) slot_requests: SlotRequests,
-    /// Packets of unknown flows that were sent to a target whose state is unknown.
+    /// Packets of unknown flows that were sent to the target.
     pub(super) probes: Vec<ProbePacket>,
     /// Packets that were held back and are now ready to be sent, with their verdicts.
     pub(super) dispatched: Vec<(Vec<u8>, AgentVerdict<F::Reset>)>,
@@ -248,11 +248,17 @@
             self.target.record_packet(now_ms);
             let flow = segment.target_flow();
             if segment.flags.rst {
-                let is_held = self.flows.contains(flow);
+                let is_held = self.flows.is_opened(flow);
                 self.peering
                     .decisions
                     .push(Decision::TargetReset { flow, is_held });
+                if !is_held {
+                    self.flows.remove(flow, now_ms);
+                    self.resume_denied(flow, now_ms);
+                    return AgentVerdict::Drop;
+                }
             }
+            self.probes.retain(|packet| packet.flow != flow);
             if self.flows.record_target_packet(flow, &segment, now_ms) {
                 self.register_flow(flow, now_ms);
             }
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -220,6 +220,13 @@
         self.flows.contains_key(&flow)
     }
 
+    /// Whether a flow has been opened at the target.
+    #[must_use]
+    pub fn is_opened(&self, flow: FlowKey) -> bool {
+        let entry = self.flows.get(&flow);
+        entry.is_some_and(|entry| entry.stage != Stage::Handshake)
+    }
+
     /// Mean service time in microseconds; 0 if there is no recent sample.
     #[must_use]
     pub fn service_time_us(&self, now_ms: u64) -> u32 {
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -27,13 +27,14 @@
 /// Time within which a target returns a packet of an unknown flow, with a margin for a busy
 /// machine.
 const PROBE_TIMEOUT_MS: u64 = 30;
-/// Maximum number of packets kept while it is unknown whether a target is running.
+/// Maximum number of kept packets of unknown flows.
 const MAX_PROBES: usize = 256;
 /// Interval between two registrations of all open flows with their registry agents.
 const REREGISTER_INTERVAL_MS: u64 = 10_000;
 
-/// A copy of a packet of an unknown flow that was sent to a target whose state is unknown. If the
-/// target does not return the packet in time, the search continues with the copy.
+/// A copy of a packet of an unknown flow that was sent to the target. The search continues with the
+/// copy if the target resets the flow instead of returning the packet or, while the state of the
+/// target is unknown, does not return it in time.
 #[derive(Clone, Debug)]
 pub struct ProbePacket {
     pub(super) flow: FlowKey,
@@ -85,8 +86,7 @@
         if self.target.is_unreachable(now_ms) {
             return self.continue_search(datagram, segment, hop, now_ms);
         }
-        let is_known = self.target.state(now_ms) != TargetState::Unknown;
-        if !is_known && self.probes.len() < MAX_PROBES {
+        if self.probes.len() < MAX_PROBES {
             self.probes.push(ProbePacket {
                 flow,
                 datagram: datagram.to_vec(),
@@ -126,6 +126,22 @@
         }
     }
 
+    /// Continues the search for the packets of a flow that the target has reset without being known
+    /// to hold it. A target that has returned a SYN resets the data of its flow, although another
+    /// target may have opened the flow.
+    pub(super) fn resume_denied(&mut self, flow: FlowKey, now_ms: u64) {
+        let is_denied = |packet: &mut ProbePacket| packet.flow == flow;
+        let denied: Vec<_> = self.probes.extract_if(.., is_denied).collect();
+        for ProbePacket { mut datagram, .. } in denied {
+            let Some(segment) = self.format.decode(&datagram) else {
+                continue;
+            };
+            let hop = self.format.read_hop_metadata(&datagram);
+            let verdict = self.continue_search(&mut datagram, &segment, hop, now_ms);
+            self.dispatched.push((datagram, verdict));
+        }
+    }
+
     /// Sends the owner of a flow to the balancer through which the packet entered, if that balancer
     /// had to look it up.
     pub(super) fn notify_entry_balancer(&mut self, flow: FlowKey, hop: HopMetadata) {
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -297,6 +297,31 @@
     assert_eq!(sim.request_count(number), 1);
 }
 
+// A target that has returned the SYN of a flow answers its data with a reset, though another target
+// has opened the flow. The data reaches it while the balancer does not know the owner yet.
+#[test]
+fn a_target_that_returned_a_syn_does_not_reset_the_flow() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    sim.agents[0].target.returns_syns = true;
+    for number in 0..40 {
+        let owner = sim.open_flow(0, number);
+        assert_ne!(owner, 0);
+        if sim.agents[0].target.ended.contains(&flow(number)) {
+            let hop = HopMetadata {
+                entry_tag: tag("balancer-0"),
+                ..HopMetadata::default()
+            };
+            let bytes = sim.request(number);
+            sim.send_to_agent(0, bytes, hop);
+            sim.advance(10);
+            assert!(!sim.was_reset(number), "flow {number}");
+            assert_eq!(sim.request_count(number), 1, "flow {number}");
+        }
+        sim.advance(100);
+    }
+    assert!(!sim.agents[0].target.ended.is_empty());
+}
+
 // Only the flows of the previous target incarnation are lost with it.
 #[test]
 fn a_flow_opened_before_the_first_heartbeat_of_a_target_is_not_reset() {
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -143,6 +143,11 @@
     pub requests: Vec<FlowKey>,
     /// Whether the target ignores packets and sends no heartbeats, as if it were dead.
     pub is_silent: bool,
+    /// Whether the target returns SYNs. It answers data on the flows of these SYNs with a reset, as
+    /// on flows that have ended.
+    pub returns_syns: bool,
+    /// Flows that have ended at the target.
+    pub ended: Vec<FlowKey>,
     /// Flow and end time of each request that occupies a slot.
     running: Vec<(FlowKey, u64)>,
     /// Flows of the requests that wait for a slot.
@@ -159,6 +164,8 @@
             syns: 0,
             requests: Vec::new(),
             is_silent: false,
+            returns_syns: false,
+            ended: Vec::new(),
             running: Vec::new(),
             queue: VecDeque::new(),
         }
@@ -175,6 +182,13 @@
         if self.is_silent {
             return Vec::new();
         }
+        let mut returned = bytes.to_vec();
+        returned[FLAGS_OFFSET] |= RETURNED;
+        returned[PAD_OFFSET..PAD_OFFSET + 5].fill(0);
+        if segment.opens_flow() && self.returns_syns {
+            self.ended.push(key);
+            return vec![returned];
+        }
         if segment.opens_flow() {
             self.syns += 1;
             if !self.flows.contains(&key) {
@@ -189,10 +203,11 @@
                 0,
             )];
         }
+        if self.ended.contains(&key) && segment.data_len > 0 {
+            let sequence = segment.acknowledged;
+            return vec![datagram(key.service, key.caller, RST, sequence, 0, 0)];
+        }
         if !self.has_opened(&segment) {
-            let mut returned = bytes.to_vec();
-            returned[FLAGS_OFFSET] |= RETURNED;
-            returned[PAD_OFFSET..PAD_OFFSET + 5].fill(0);
             return vec![returned];
         }
         if segment.data_len > 0 {
