Do not take flows that an agent has not seen for flows that are gone

What callers saw: by a test, an idle open flow is reset after its agent was restarted twice, as planned work does.

Cause (found by the review): an agent counts the flows that it has seen since its own start. After a restart beside an idle or draining target that is none, so that it removed its registration when it stopped again, and others did not await it.

Change: a draining target counts as holding a flow until it has announced its exit; an agent whose target has ever sent a heartbeat and not announced its exit stays registered when it stops.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -183,27 +183,34 @@
     /// Current load of the target, as reported to other instances.
     #[must_use]
     pub fn load(&self, now_ms: u64) -> TargetLoad {
+        let state = self.target.state(now_ms);
+        let known_flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
         let flows = if self.target.has_exited() {
             0
+        } else if state == TargetState::Draining {
+            // It may hold idle flows that this process has not seen since its start.
+            known_flows.max(1)
         } else {
-            self.flows.len()
+            known_flows
         };
         TargetLoad {
-            state: self.target.state(now_ms),
+            state,
             service: self.service(),
             capacity: self.capacity(),
             running: self.outstanding_requests(),
-            flows: u32::try_from(flows).unwrap_or(u32::MAX),
+            flows,
             service_time_us: self.flows.service_time_us(now_ms),
             cold_left_ms: u32::try_from(self.target.cold_left_ms(now_ms)).unwrap_or(u32::MAX),
         }
     }
 
     /// Whether the instance stays registered in the store when this process stops, because its
-    /// target holds flows. Agents that start before this one restarts then know that it may return.
+    /// target may hold flows. Agents that start before this one restarts then know that it may
+    /// return.
     #[must_use]
     pub fn stays_registered(&self, now_ms: u64) -> bool {
-        self.load(now_ms).flows > 0
+        let is_heard = self.target.last_heartbeat().is_some();
+        !self.target.has_exited() && (is_heard || self.load(now_ms).flows > 0)
     }
 
     /// Handles a packet from a balancer or another agent.
