Test schedules that reset a flow of a live target

The tests fail: each schedule ends in a reset that the caller accepts while the target holds the flow. The simulation gains the service of a target and the service that a started agent expects.

--- /dev/null
+++ b/tests/reset_gaps.rs
@@ -0,0 +1,213 @@
+//! An agent does not reset an open flow that a live target holds, whatever it knows of the owner.
+
+mod simulation;
+
+use std::sync::Arc;
+
+use bamboowind::{
+    flow::{
+        packet::{HopMetadata, Lookup},
+        routes::{Backend, Class, Route, RouteTable},
+    },
+    membership::rendezvous::tag,
+};
+use simulation::{SERVICE, Simulation, flow, service_address};
+
+const AGENTS: u8 = 6;
+
+fn open_flow_with_owner_at(sim: &mut Simulation, rank: usize) -> (u16, Vec<usize>) {
+    for number in 0..200 {
+        let owner = sim.open_flow(0, number);
+        sim.advance(10);
+        let order = sim.flow_order(number);
+        if order[rank] == owner {
+            return (number, order);
+        }
+    }
+    unreachable!("every rank occurs among so many flows");
+}
+
+// An agent that leaves is awaited even if, itself just restarted, it knows no flow of its target.
+#[test]
+fn an_idle_flow_survives_two_restarts_of_its_agent() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let owner = order[2];
+    sim.advance(100);
+    sim.restart_agent(owner);
+    sim.advance(1_500);
+    sim.leave_agent(owner);
+    for index in order.iter().filter(|index| **index != owner) {
+        sim.restart_agent(*index);
+    }
+    sim.restart_balancer(1);
+    sim.advance(600);
+    assert!(sim.agents[owner].target.flows.contains(&flow(number)));
+    sim.send_from_caller(1, sim.request(number));
+    assert!(!sim.was_reset(number), "the target still serves");
+}
+
+// The same holds beside a draining target, where the other agents need not restart.
+#[test]
+fn an_idle_flow_of_a_draining_target_survives_two_restarts_of_its_agent() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let owner = order[2];
+    sim.agents[owner].is_draining = true;
+    sim.advance(600);
+    sim.restart_agent(owner);
+    sim.agents[owner].is_draining = true;
+    sim.advance(1_500);
+    // The registry agents forget the flow, as after restarts of theirs.
+    sim.restart_agent(order[0]);
+    sim.restart_agent(order[1]);
+    sim.advance(600);
+    sim.leave_agent(owner);
+    sim.restart_balancer(1);
+    sim.advance(300);
+    assert!(sim.agents[owner].target.flows.contains(&flow(number)));
+    sim.send_from_caller(1, sim.request(number));
+    assert!(!sim.was_reset(number), "the target still serves");
+}
+
+// An agent that needs seconds to start again still has a target that holds flows.
+#[test]
+fn a_flow_of_an_agent_that_is_away_for_long_is_not_reset() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let owner = order[2];
+    let owner_address = sim.agent_address(owner);
+    for index in &order[..2] {
+        sim.lost_notices
+            .insert((owner_address, sim.agent_address(*index)));
+        sim.restart_agent(*index);
+    }
+    sim.advance(600);
+    sim.lost_notices.clear();
+    sim.advance(400);
+    sim.leave_agent(owner);
+    for away_ms in (500..=8_000).step_by(500) {
+        sim.advance(500);
+        sim.restart_balancer(1);
+        sim.advance(10);
+        sim.send_from_caller(1, sim.request(number));
+        assert!(sim.agents[owner].target.flows.contains(&flow(number)));
+        assert!(!sim.was_reset(number), "away for {away_ms} ms");
+    }
+}
+
+fn routes_to(service: &str, version: u64) -> Arc<RouteTable> {
+    let route = Route {
+        address: service_address(),
+        backends: vec![Backend {
+            service: service.into(),
+            weight: 1,
+        }],
+        class: Class {
+            target_latency_ms: 200,
+            priority: 1,
+        },
+    };
+    Arc::new(RouteTable::new(version, vec![route]))
+}
+
+// A configuration that sends new flows to another service leaves open flows where they are.
+#[test]
+fn a_flow_of_the_previous_service_of_a_route_is_not_reset() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    for index in 3..6 {
+        sim.agents[index].service = "pedidos";
+    }
+    sim.advance(1_000);
+    let owner = sim.open_flow(0, 1);
+    assert!(owner < 3);
+    sim.advance(100);
+    for balancer in &mut sim.balancers {
+        balancer.set_routes(routes_to("pedidos", 2));
+    }
+    sim.send_from_caller(0, sim.request(1));
+    assert_eq!(
+        sim.request_count(1),
+        1,
+        "through the balancer that knows the owner"
+    );
+    sim.send_from_caller(1, sim.request(1));
+    assert!(sim.agents[owner].target.flows.contains(&flow(1)));
+    assert!(!sim.was_reset(1), "through another balancer");
+    assert_eq!(sim.request_count(1), 2);
+}
+
+// A balancer's entry names an agent whose target now belongs to another service.
+#[test]
+fn a_flow_that_a_balancer_assigns_to_another_service_is_not_reset() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    for index in 3..6 {
+        sim.agents[index].service = "pedidos";
+    }
+    sim.advance(1_000);
+    let owner = sim.open_flow(0, 1);
+    assert!(owner < 3);
+    let hop = HopMetadata {
+        lookup: Lookup::Known,
+        entry_tag: tag("balancer-0"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(4, sim.request(1), hop);
+    assert!(sim.agents[owner].target.flows.contains(&flow(1)));
+    assert!(!sim.was_reset(1), "the target holds the flow");
+}
+
+// The agents asked first know an agent that the later ones do not know, and the reverse.
+#[test]
+fn two_partial_views_that_differ_do_not_end_a_search() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 0);
+    let hide = |sim: &mut Simulation, hidden: usize, from: &[usize]| {
+        for rank in from {
+            let pair = (
+                sim.agent_address(order[hidden]),
+                sim.agent_address(order[*rank]),
+            );
+            sim.lost_notices.insert(pair);
+            sim.unlisted.insert(pair);
+        }
+    };
+    // The agents at ranks 1 and 5 do not know the owner, and those in between do not know the agent
+    // at rank 1, which takes them for their previous incarnations.
+    hide(&mut sim, 0, &[1, 5]);
+    sim.restart_agent(order[1]);
+    sim.restart_agent(order[5]);
+    sim.advance(800);
+    hide(&mut sim, 1, &[2, 3, 4]);
+    (2..5).for_each(|rank| sim.restart_agent(order[rank]));
+    sim.advance(200);
+    let hop = HopMetadata {
+        lookup: Lookup::Registered,
+        entry_tag: tag("balancer-1"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(order[5], sim.request(number), hop);
+    assert!(sim.agents[order[0]].target.flows.contains(&flow(number)));
+    assert!(!sim.was_reset(number), "the target holds the flow");
+}
+
+// A started agent that does not know its target's service yet, or expects another, holds flows.
+#[test]
+fn a_flow_beside_a_started_agent_that_expects_another_service_is_not_reset() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    sim.restart_agent(order[0]);
+    sim.restart_agent(order[1]);
+    sim.advance(2_000 - sim.now_ms % 500 + 20);
+    sim.expected_service = "pedidos";
+    sim.restart_agent(order[2]);
+    // The registry agents restart as well, so that no registration is left.
+    sim.expected_service = SERVICE;
+    sim.restart_agent(order[0]);
+    sim.restart_agent(order[1]);
+    sim.restart_balancer(1);
+    sim.advance(50);
+    sim.send_from_caller(1, sim.request(number));
+    assert!(sim.agents[order[2]].target.flows.contains(&flow(number)));
+    assert!(!sim.was_reset(number), "the target holds the flow");
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -259,6 +259,8 @@
     unread: Vec<Unread>,
     /// Whether the heartbeats of the target say that it is draining.
     pub is_draining: bool,
+    /// Service that the heartbeats of the target name.
+    pub service: &'static str,
     instance: Instance,
     /// Sequence number of the last heartbeat of the target.
     heartbeat_sequence: u64,
@@ -308,6 +310,8 @@
     /// Control addresses of instances and of the receivers that are told of them by neither the
     /// store nor other instances.
     pub unlisted: HashSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Service that the settings of a started agent name.
+    pub expected_service: &'static str,
     /// Number of slots of each target.
     capacity: usize,
     /// Time for a target to serve a request.
@@ -360,6 +364,7 @@
             callers: HashMap::new(),
             lost_notices: HashSet::new(),
             unlisted: HashSet::new(),
+            expected_service: SERVICE,
             capacity,
             service_ms,
         };
@@ -395,8 +400,8 @@
             host + 1,
             incarnation,
         );
-        let local_target =
-            Target::new(HEARTBEAT_INTERVAL_MS).with_expected_service(SERVICE.into(), self.now_ms);
+        let local_target = Target::new(HEARTBEAT_INTERVAL_MS)
+            .with_expected_service(self.expected_service.into(), self.now_ms);
         let mut core = AgentCore::new(
             PlatformPacket,
             own.clone(),
@@ -413,6 +418,7 @@
             is_frozen: false,
             unread: Vec::new(),
             is_draining: false,
+            service: SERVICE,
             instance: own,
             heartbeat_sequence: 0,
             target_incarnation: 1,
@@ -463,7 +469,7 @@
             id: format!("target-{index}-{}", agent.target_incarnation).into(),
             started_at_unix_ms: agent.target_incarnation,
             sequence: agent.heartbeat_sequence,
-            service: SERVICE.into(),
+            service: agent.service.into(),
             is_draining: agent.is_draining,
             capacity: u32::try_from(agent.target.capacity).expect("few slots"),
             cold_left_ms: 0,
