Do not reset a flow after a search of another service

What callers saw: by a test, an open flow is reset by an agent of another service that a balancer's table names.

A packet that reaches an agent whose address or target has changed service is denied by all of them, though none could hold the flow.

Change: balancers write the tag of the routed service into packets of existing flows too; an agent of another service marks the search as incomplete before it asks its target.

Evidence: a_flow_that_a_balancer_assigns_to_another_service_is_not_reset failed before and passes. The ported test handed a packet without a tag to the agent; it now goes through the balancer with the wrong entry, which writes it.

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -14,7 +14,7 @@
     flow::packet::{FlowKey, HopMetadata, Lookup, MAX_UNASKED, PacketFormat, Segment},
     membership::{
         instance::{Instance, TargetState},
-        rendezvous::flow_hash,
+        rendezvous::{flow_hash, tag},
     },
 };
 
@@ -72,6 +72,7 @@
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
+        let hop = self.mark_other_service(datagram, flow, hop);
         if hop.lookup == Lookup::Registry
             && let Some(owner) = self.flow_owners.owner(flow, now_ms)
             && owner != self.peering.local_instance().packet_address
@@ -96,6 +97,30 @@
         AgentVerdict::Target
     }
 
+    /// Marks the search for a flow that was routed to another service as incomplete: it asks only
+    /// agents of the local service.
+    fn mark_other_service(
+        &mut self,
+        datagram: &mut [u8],
+        flow: FlowKey,
+        hop: HopMetadata,
+    ) -> HopMetadata {
+        let local_tag = self.target.service().map_or(0, |name| tag(name));
+        if hop.service_tag == 0 || hop.service_tag == local_tag || hop.is_incomplete {
+            return hop;
+        }
+        let gap = SearchGap::OtherService;
+        self.peering
+            .decisions
+            .push(Decision::SearchIncomplete { flow, gap });
+        let hop = HopMetadata {
+            is_incomplete: true,
+            ..hop
+        };
+        self.format.write_hop_metadata(datagram, hop);
+        hop
+    }
+
     /// Continues the search for packets that a target in an unknown state has not returned in time.
     /// The target may hold their flows and be busy, so these searches end without a reset.
     pub(super) fn resume_unreturned(&mut self, now_ms: u64) {
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -112,17 +112,19 @@
             return self.place(datagram, &segment, flow, now_ms);
         }
         if let Some(owner) = self.flows.owner(flow, now_ms) {
-            self.write_lookup_hop(datagram, Lookup::Known);
+            let service = self.routes.service(flow.service, flow_hash(flow));
+            self.write_lookup_hop(datagram, Lookup::Known, service.as_deref());
             return Verdict::Send(owner);
         }
         self.look_up(datagram, flow, now_ms)
     }
 
-    /// Writes the hop metadata of a packet of an existing flow.
-    fn write_lookup_hop(&self, datagram: &mut [u8], lookup: Lookup) {
+    /// Writes the hop metadata of a packet of an existing flow to `service`.
+    fn write_lookup_hop(&self, datagram: &mut [u8], lookup: Lookup, service: Option<&str>) {
         let hop = HopMetadata {
             lookup,
             entry_tag: self.local_tag,
+            service_tag: service.map_or(0, tag),
             ..HopMetadata::default()
         };
         self.format.write_hop_metadata(datagram, hop);
@@ -235,8 +237,9 @@
         let hash = flow_hash(flow);
         let directory = &self.peering.directory;
         let service = self.routes.service(flow.service, hash);
-        let registry_agent =
-            service.and_then(|service| directory.registry_agent(hash, &service, 0, now_ms));
+        let registry_agent = service
+            .as_deref()
+            .and_then(|service| directory.registry_agent(hash, service, 0, now_ms));
         let Some(registry_agent) = registry_agent else {
             let reason = Reason::FlowNotFound;
             self.peering
@@ -250,7 +253,7 @@
         self.peering
             .decisions
             .push(Decision::LookedUp { flow, agent, tried });
-        self.write_lookup_hop(datagram, Lookup::Registry);
+        self.write_lookup_hop(datagram, Lookup::Registry, service.as_deref());
         Verdict::Send(address)
     }
 
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -68,6 +68,8 @@
     /// An agent that another agent knows was not asked, because the one before it in the rendezvous
     /// order does not know it.
     AgentSkipped,
+    /// The flow was routed to another service than that of the agent.
+    OtherService,
     /// The target of an agent that has just started neither returned the packet nor sent a
     /// heartbeat.
     TargetSilent,
@@ -85,6 +87,7 @@
         match self {
             Self::InstancesUnknown => "instances_unknown",
             Self::AgentSkipped => "agent_skipped",
+            Self::OtherService => "other_service",
             Self::TargetSilent => "target_silent",
             Self::AgentSilent { .. } => "agent_silent",
         }
@@ -384,9 +387,7 @@
             let reason = gap.name();
             let (awaited, silent_ms) = match gap {
                 SearchGap::AgentSilent { agent, silent_ms } => (Some(agent), silent_ms),
-                SearchGap::InstancesUnknown | SearchGap::AgentSkipped | SearchGap::TargetSilent => {
-                    (None, 0)
-                }
+                _ => (None, 0),
             };
             info!(log, "flow search incomplete"; "flow" => %flow, "reason" => reason,
                 "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
--- a/tests/reset_gaps.rs
+++ b/tests/reset_gaps.rs
@@ -9,6 +9,7 @@
         packet::{HopMetadata, Lookup},
         routes::{Backend, Class, Route, RouteTable},
     },
+    forward::notices::Notice,
     membership::rendezvous::tag,
 };
 use simulation::{SERVICE, Simulation, flow, service_address};
@@ -147,12 +148,14 @@
     sim.advance(1_000);
     let owner = sim.open_flow(0, 1);
     assert!(owner < 3);
-    let hop = HopMetadata {
-        lookup: Lookup::Known,
-        entry_tag: tag("balancer-0"),
-        ..HopMetadata::default()
+    let wrong = sim.agents[4].core.peering.local_instance().packet_address;
+    let notice = Notice::FlowOwner {
+        owner: wrong,
+        flows: vec![flow(1)],
     };
-    sim.send_to_agent(4, sim.request(1), hop);
+    let now_ms = sim.now_ms;
+    sim.balancers[0].handle_notice(wrong, notice, now_ms);
+    sim.send_from_caller(0, sim.request(1));
     assert!(sim.agents[owner].target.flows.contains(&flow(1)));
     assert!(!sim.was_reset(1), "the target holds the flow");
 }
