Let packets follow the redirected SYN of their flow

What callers saw: requests late after the change of the target resets.

Cause: until a balancer learns the owner of a flow whose SYN was redirected, it sends the flow's packets to the agent that redirected it. Before, a target that had just started reset them and the callers tried again; now each packet of the window was searched for, through tens of agents.

Change: an agent remembers where it redirected a SYN to, beside the registered owners, and sends the flow's packets there, along the redirects, at most 16.

Evidence: data_of_a_redirected_flow_is_not_sent_to_every_agent failed before and passes.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -58,7 +58,8 @@
     pub(super) format: F,
     /// Flows of the local target.
     pub(super) flows: AgentFlows,
-    /// Owners of the flows for which this agent is a registry agent.
+    /// Owners of the flows for which this agent is a registry agent, and the agents that SYNs were
+    /// redirected to.
     pub(super) flow_owners: FlowTable,
     /// Whether the full list of instances has been read from the store.
     pub(super) members_known: bool,
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -8,6 +8,7 @@
 
 use super::{
     agent::{AgentCore, AgentVerdict},
+    agent_syn::MAX_GRANT_HOPS,
     decision::{Decision, Reason, SearchGap},
 };
 use crate::{
@@ -73,14 +74,10 @@
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
         let hop = self.mark_other_service(datagram, flow, hop);
-        if hop.lookup == Lookup::Registry
+        if let Some(hop) = Self::owner_hop(hop)
             && let Some(owner) = self.flow_owners.owner(flow, now_ms)
             && owner != self.peering.local_instance().packet_address
         {
-            let hop = HopMetadata {
-                lookup: Lookup::Registered,
-                ..hop
-            };
             self.format.write_hop_metadata(datagram, hop);
             return AgentVerdict::Instance(owner);
         }
@@ -97,6 +94,24 @@
         AgentVerdict::Target
     }
 
+    /// Hop metadata with which a packet is sent to the owner known to this agent; `None` if its
+    /// search has gone on without this knowledge.
+    ///
+    /// A packet from a balancer may follow the SYN of its flow, which was redirected from agent to
+    /// agent.
+    fn owner_hop(hop: HopMetadata) -> Option<HopMetadata> {
+        let (tried, lookup) = match hop.lookup {
+            Lookup::Known if hop.tried < MAX_GRANT_HOPS => (hop.tried + 1, Lookup::Known),
+            Lookup::Registry => (hop.tried, Lookup::Registered),
+            Lookup::Known | Lookup::Registered | Lookup::Search => return None,
+        };
+        Some(HopMetadata {
+            tried,
+            lookup,
+            ..hop
+        })
+    }
+
     /// Marks the search for a flow that was routed to another service as incomplete: it asks only
     /// agents of the local service.
     fn mark_other_service(
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -22,7 +22,7 @@
 /// Maximum number of agents that a SYN is tried at.
 const MAX_PLACEMENTS: u8 = 3;
 /// Maximum number of agents that a SYN visits, including those that granted it a slot.
-const MAX_GRANT_HOPS: u8 = 16;
+pub(super) const MAX_GRANT_HOPS: u8 = 16;
 /// Maximum age of a sibling's load report for it to tell which slots are free; about one service
 /// time.
 const MAX_REPORT_AGE_MS: u64 = 40;
@@ -220,6 +220,7 @@
             return;
         }
         self.format.write_hop_metadata(&mut syn.datagram, hop);
+        self.record_redirect(syn.flow, address, now_ms);
         self.peering.decisions.push(Decision::Redirected {
             flow: syn.flow,
             agent: name,
@@ -328,6 +329,7 @@
             ..hop
         };
         self.format.write_hop_metadata(datagram, hop);
+        self.record_redirect(flow, address, now_ms);
         self.peering.directory.count_placed(&name);
         self.peering.decisions.push(Decision::Redirected {
             flow,
@@ -338,6 +340,14 @@
         AgentVerdict::Instance(address)
     }
 
+    /// Records the agent that a SYN was redirected to, so that packets of the flow which a balancer
+    /// sends here can follow it. A registered owner takes precedence.
+    fn record_redirect(&mut self, flow: FlowKey, address: SocketAddrV4, now_ms: u64) {
+        if self.flow_owners.owner(flow, now_ms).is_none() {
+            self.flow_owners.insert(flow, address, now_ms);
+        }
+    }
+
     /// Answers a first SYN with a reset. A retransmitted SYN is dropped without one, because an
     /// earlier one may have opened the flow.
     pub(super) fn refuse(
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -4,7 +4,7 @@
 
 use bamboowind::{
     flow::packet::{HopMetadata, Lookup, PacketFormat},
-    forward::balancer::Verdict,
+    forward::{agent::AgentVerdict, balancer::Verdict},
     membership::{instance::TargetState, rendezvous::tag},
 };
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -322,6 +322,31 @@
     assert!(!sim.agents[0].target.ended.is_empty());
 }
 
+// Data that reaches the agent that has redirected the SYN of its flow must follow the SYN instead of
+// being searched for.
+#[test]
+fn data_of_a_redirected_flow_is_not_sent_to_every_agent() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    sim.agents[0].target.returns_syns = true;
+    for number in 0..40 {
+        let owner = sim.open_flow(0, number);
+        if sim.agents[0].target.ended.contains(&flow(number)) {
+            let mut bytes = sim.request(number);
+            PlatformPacket.write_hop_metadata(&mut bytes, HopMetadata::default());
+            let now_ms = sim.now_ms;
+            let verdict = sim.agents[0].core.handle_inbound(&mut bytes, now_ms);
+            let address = sim.agents[owner]
+                .core
+                .peering
+                .local_instance()
+                .packet_address;
+            assert_eq!(verdict, AgentVerdict::Instance(address), "flow {number}");
+        }
+        sim.advance(100);
+    }
+    assert!(!sim.agents[0].target.ended.is_empty());
+}
+
 // Only the flows of the previous target incarnation are lost with it.
 #[test]
 fn a_flow_opened_before_the_first_heartbeat_of_a_target_is_not_reset() {
