Simulate targets that have just started, and state the search rules as they are

A target that has just started resets the data of any flow that it does not hold, not only of flows whose SYN it returned; the simulated one does the same now. a_search_past_a_started_target_does_not_reset_the_flow fails on the code before the change of the target resets and passes. No behaviour changes.

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -19,9 +19,8 @@
     },
 };
 
-/// Maximum number of agents that a packet of an unknown flow is sent to. It covers all agents of a
-/// service at the largest current site; a search becomes this long only if the registry agents are
-/// dead.
+/// Maximum number of agents that a packet of an unknown flow is sent to. A search that has asked so
+/// many ends without a reset.
 const MAX_SEARCH_HOPS: u8 = 64;
 /// Number of registry agents per flow, so that the owner is still known when one is dead.
 const OWNER_REPLICAS: usize = 2;
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -158,7 +158,7 @@
         reason: Reason,
         /// Version of the route table; 0 if the agent refused a SYN.
         route_version: u64,
-        /// Number of agents that the packet was sent to before this process.
+        /// See [`crate::flow::packet::HopMetadata::tried`].
         tried: u8,
     },
     /// A packet was dropped without a reset.
@@ -191,7 +191,7 @@
         flow: FlowKey,
         /// Stage of the lookup by which the packet arrived.
         lookup: Lookup,
-        /// Number of agents that the packet was sent to before this one.
+        /// See [`crate::flow::packet::HopMetadata::tried`].
         tried: u8,
         /// Number of live agents of the service that this agent knows, itself included.
         agents: usize,
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -297,16 +297,16 @@
     assert_eq!(sim.request_count(number), 1);
 }
 
-// A target that has returned the SYN of a flow answers its data with a reset, though another target
-// has opened the flow. The data reaches it while the balancer does not know the owner yet.
+// A target that has just started returns the SYN of a flow and resets the data of the flow, though
+// another target has opened it. The data reaches it while the balancer does not know the owner yet.
 #[test]
 fn a_target_that_returned_a_syn_does_not_reset_the_flow() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    sim.agents[0].target.returns_syns = true;
+    sim.agents[0].target.is_starting = true;
     for number in 0..40 {
         let owner = sim.open_flow(0, number);
         assert_ne!(owner, 0);
-        if sim.agents[0].target.ended.contains(&flow(number)) {
+        if sim.agents[0].target.refused.contains(&flow(number)) {
             let hop = HopMetadata {
                 entry_tag: tag("balancer-0"),
                 ..HopMetadata::default()
@@ -319,7 +319,26 @@
         }
         sim.advance(100);
     }
-    assert!(!sim.agents[0].target.ended.is_empty());
+    assert!(!sim.agents[0].target.refused.is_empty());
+}
+
+// A search that asks a target which has just started must go on to the owner.
+#[test]
+fn a_search_past_a_started_target_does_not_reset_the_flow() {
+    for owner_rank in 1..usize::from(AGENTS) {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        let (number, order) = open_flow_with_owner_at(&mut sim, owner_rank);
+        sim.agents[order[0]].target.is_starting = true;
+        let hop = HopMetadata {
+            lookup: Lookup::Registered,
+            entry_tag: tag("balancer-1"),
+            ..HopMetadata::default()
+        };
+        sim.send_to_agent(order[0], sim.request(number), hop);
+        sim.advance(10);
+        assert!(!sim.was_reset(number), "owner at rank {owner_rank}");
+        assert_eq!(sim.request_count(number), 1, "owner at rank {owner_rank}");
+    }
 }
 
 // Data that reaches the agent that has redirected the SYN of its flow must follow the SYN instead of
@@ -327,10 +346,10 @@
 #[test]
 fn data_of_a_redirected_flow_is_not_sent_to_every_agent() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    sim.agents[0].target.returns_syns = true;
+    sim.agents[0].target.is_starting = true;
     for number in 0..40 {
         let owner = sim.open_flow(0, number);
-        if sim.agents[0].target.ended.contains(&flow(number)) {
+        if sim.agents[0].target.refused.contains(&flow(number)) {
             let mut bytes = sim.request(number);
             PlatformPacket.write_hop_metadata(&mut bytes, HopMetadata::default());
             let now_ms = sim.now_ms;
@@ -344,7 +363,7 @@
         }
         sim.advance(100);
     }
-    assert!(!sim.agents[0].target.ended.is_empty());
+    assert!(!sim.agents[0].target.refused.is_empty());
 }
 
 // Only the flows of the previous target incarnation are lost with it.
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -143,11 +143,11 @@
     pub requests: Vec<FlowKey>,
     /// Whether the target ignores packets and sends no heartbeats, as if it were dead.
     pub is_silent: bool,
-    /// Whether the target returns SYNs. It answers data on the flows of these SYNs with a reset, as
-    /// on flows that have ended.
-    pub returns_syns: bool,
-    /// Flows that have ended at the target.
-    pub ended: Vec<FlowKey>,
+    /// Whether the target has not completed its start: it returns SYNs, and answers data of flows
+    /// that it does not hold with a reset.
+    pub is_starting: bool,
+    /// Flows whose SYNs the target has returned.
+    pub refused: Vec<FlowKey>,
     /// Flow and end time of each request that occupies a slot.
     running: Vec<(FlowKey, u64)>,
     /// Flows of the requests that wait for a slot.
@@ -164,8 +164,8 @@
             syns: 0,
             requests: Vec::new(),
             is_silent: false,
-            returns_syns: false,
-            ended: Vec::new(),
+            is_starting: false,
+            refused: Vec::new(),
             running: Vec::new(),
             queue: VecDeque::new(),
         }
@@ -185,8 +185,8 @@
         let mut returned = bytes.to_vec();
         returned[FLAGS_OFFSET] |= RETURNED;
         returned[PAD_OFFSET..PAD_OFFSET + 5].fill(0);
-        if segment.opens_flow() && self.returns_syns {
-            self.ended.push(key);
+        if segment.opens_flow() && self.is_starting {
+            self.refused.push(key);
             return vec![returned];
         }
         if segment.opens_flow() {
@@ -203,7 +203,7 @@
                 0,
             )];
         }
-        if self.ended.contains(&key) && segment.data_len > 0 {
+        if self.is_starting && segment.data_len > 0 && !self.has_opened(&segment) {
             let sequence = segment.acknowledged;
             return vec![datagram(key.service, key.caller, RST, sequence, 0, 0)];
         }
