Resume searches and open test flows in one place each

Cause: two loops over kept packets in agent_lookup.rs differed only in the mark of an incomplete search, and two test files held the same function that opens a flow with its owner at a given rank.

Change: resume_search serves both callers; the function is a method of the simulation. No behaviour, check or bound changes.

--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -145,24 +145,7 @@
         {
             return;
         }
-        for ProbePacket {
-            flow, mut datagram, ..
-        } in unreturned
-        {
-            let Some(segment) = self.format.decode(&datagram) else {
-                continue;
-            };
-            let gap = SearchGap::TargetSilent;
-            self.peering
-                .decisions
-                .push(Decision::SearchIncomplete { flow, gap });
-            let hop = HopMetadata {
-                is_incomplete: true,
-                ..self.format.read_hop_metadata(&datagram)
-            };
-            let verdict = self.continue_search(&mut datagram, &segment, hop, now_ms);
-            self.dispatched.push((datagram, verdict));
-        }
+        self.resume_search(unreturned, Some(&SearchGap::TargetSilent), now_ms);
     }
 
     /// Continues the search for the packets of a flow that the target has reset without being known
@@ -170,12 +153,27 @@
     /// target may have opened the flow.
     pub(super) fn resume_denied(&mut self, flow: FlowKey, now_ms: u64) {
         let is_denied = |packet: &mut ProbePacket| packet.flow == flow;
-        let denied: Vec<_> = self.probes.extract_if(.., is_denied).collect();
-        for ProbePacket { mut datagram, .. } in denied {
+        let denied = self.probes.extract_if(.., is_denied).collect();
+        self.resume_search(denied, None, now_ms);
+    }
+
+    /// Continues the search with copies of packets that the target has not returned. `gap` tells
+    /// why the search is incomplete; `None` if the target has denied the flow.
+    fn resume_search(&mut self, packets: Vec<ProbePacket>, gap: Option<&SearchGap>, now_ms: u64) {
+        for ProbePacket {
+            flow, mut datagram, ..
+        } in packets
+        {
             let Some(segment) = self.format.decode(&datagram) else {
                 continue;
             };
-            let hop = self.format.read_hop_metadata(&datagram);
+            let mut hop = self.format.read_hop_metadata(&datagram);
+            if let Some(gap) = gap.cloned() {
+                self.peering
+                    .decisions
+                    .push(Decision::SearchIncomplete { flow, gap });
+                hop.is_incomplete = true;
+            }
             let verdict = self.continue_search(&mut datagram, &segment, hop, now_ms);
             self.dispatched.push((datagram, verdict));
         }
--- a/tests/reset_gaps.rs
+++ b/tests/reset_gaps.rs
@@ -16,23 +16,11 @@
 
 const AGENTS: u8 = 6;
 
-fn open_flow_with_owner_at(sim: &mut Simulation, rank: usize) -> (u16, Vec<usize>) {
-    for number in 0..200 {
-        let owner = sim.open_flow(0, number);
-        sim.advance(10);
-        let order = sim.flow_order(number);
-        if order[rank] == owner {
-            return (number, order);
-        }
-    }
-    unreachable!("every rank occurs among so many flows");
-}
-
 // An agent that leaves is awaited even if, itself just restarted, it knows no flow of its target.
 #[test]
 fn an_idle_flow_survives_two_restarts_of_its_agent() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let (number, order) = sim.open_flow_with_owner_at(2);
     let owner = order[2];
     sim.advance(100);
     sim.restart_agent(owner);
@@ -52,7 +40,7 @@
 #[test]
 fn an_idle_flow_of_a_draining_target_survives_two_restarts_of_its_agent() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let (number, order) = sim.open_flow_with_owner_at(2);
     let owner = order[2];
     sim.agents[owner].is_draining = true;
     sim.advance(600);
@@ -75,7 +63,7 @@
 #[test]
 fn a_flow_of_an_agent_that_is_away_for_long_is_not_reset() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let (number, order) = sim.open_flow_with_owner_at(2);
     let owner = order[2];
     let owner_address = sim.agent_address(owner);
     for index in &order[..2] {
@@ -164,7 +152,7 @@
 #[test]
 fn two_partial_views_that_differ_do_not_end_a_search() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 0);
+    let (number, order) = sim.open_flow_with_owner_at(0);
     let hide = |sim: &mut Simulation, hidden: usize, from: &[usize]| {
         for rank in from {
             let pair = (
@@ -198,7 +186,7 @@
 #[test]
 fn a_flow_beside_a_started_agent_that_expects_another_service_is_not_reset() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let (number, order) = sim.open_flow_with_owner_at(2);
     sim.restart_agent(order[0]);
     sim.restart_agent(order[1]);
     sim.advance(2_000 - sim.now_ms % 500 + 20);
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -17,26 +17,12 @@
 /// Number of agents in most simulations.
 const AGENTS: u8 = 6;
 
-/// Number of a flow whose owner is at position `rank` of the flow's rendezvous order, after the flow
-/// was opened through balancer 0. Returns the number and the order.
-fn open_flow_with_owner_at(sim: &mut Simulation, rank: usize) -> (u16, Vec<usize>) {
-    for number in 0..200 {
-        let owner = sim.open_flow(0, number);
-        sim.advance(10);
-        let order = sim.flow_order(number);
-        if order[rank] == owner {
-            return (number, order);
-        }
-    }
-    unreachable!("every rank occurs among so many flows");
-}
-
 // A lookup that reaches an agent of low rank first must still reach the owner, which ranks higher.
 #[test]
 fn a_lookup_at_a_low_ranked_agent_does_not_skip_the_owner() {
     for owner_rank in 0..usize::from(AGENTS) - 1 {
         let mut sim = Simulation::new(2, AGENTS, 5, 20);
-        let (number, order) = open_flow_with_owner_at(&mut sim, owner_rank);
+        let (number, order) = sim.open_flow_with_owner_at(owner_rank);
         let hop = HopMetadata {
             lookup: Lookup::Registry,
             entry_tag: tag("balancer-1"),
@@ -53,7 +39,7 @@
 fn a_starting_balancer_that_knows_one_agent_causes_no_reset() {
     for known_rank in 1..usize::from(AGENTS) {
         let mut sim = Simulation::new(2, AGENTS, 5, 20);
-        let (number, order) = open_flow_with_owner_at(&mut sim, 0);
+        let (number, order) = sim.open_flow_with_owner_at(0);
         let balancer = sim.balancer_address(1);
         for index in order.iter().filter(|index| **index != order[known_rank]) {
             sim.lost_notices
@@ -73,7 +59,7 @@
 #[test]
 fn a_balancer_that_suspects_the_owner_causes_no_reset() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 0);
+    let (number, order) = sim.open_flow_with_owner_at(0);
     let balancer = sim.balancer_address(1);
     for index in &order[..2] {
         sim.lost_notices
@@ -89,7 +75,7 @@
 #[test]
 fn an_agent_that_does_not_know_the_owner_does_not_end_the_search() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 1);
+    let (number, order) = sim.open_flow_with_owner_at(1);
     let (first, owner) = (sim.agent_address(order[0]), sim.agent_address(order[1]));
     sim.lost_notices.insert((owner, first));
     sim.unlisted.insert((owner, first));
@@ -110,7 +96,7 @@
 fn an_agent_that_does_not_know_the_last_agent_does_not_end_the_search() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
     let last = usize::from(AGENTS) - 1;
-    let (number, order) = open_flow_with_owner_at(&mut sim, last);
+    let (number, order) = sim.open_flow_with_owner_at(last);
     let (asker, owner) = (
         sim.agent_address(order[last - 1]),
         sim.agent_address(order[last]),
@@ -132,7 +118,7 @@
 #[test]
 fn an_owner_known_only_from_the_store_is_not_passed_over() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 1);
+    let (number, order) = sim.open_flow_with_owner_at(1);
     let (first, owner) = (sim.agent_address(order[0]), sim.agent_address(order[1]));
     sim.lost_notices.insert((owner, first));
     sim.restart_agent(order[0]);
@@ -205,7 +191,7 @@
 /// Opens a flow whose owner is at position 2 of the flow's order, and loses the registrations of
 /// the flow. Returns the number of the flow, and the order.
 fn open_unregistered_flow(sim: &mut Simulation) -> (u16, Vec<usize>) {
-    let (number, order) = open_flow_with_owner_at(sim, 2);
+    let (number, order) = sim.open_flow_with_owner_at(2);
     let owner = sim.agent_address(order[2]);
     // The registry agents restart and hear nothing from the owner, which would register its flows
     // with them, until they have been up for a while.
@@ -279,7 +265,7 @@
 #[test]
 fn a_flow_of_an_agent_that_left_is_not_reset_by_agents_started_later() {
     let mut sim = Simulation::new(2, AGENTS, 5, 20);
-    let (number, order) = open_flow_with_owner_at(&mut sim, 2);
+    let (number, order) = sim.open_flow_with_owner_at(2);
     let owner = order[2];
     sim.leave_agent(owner);
     for index in order.iter().filter(|index| **index != owner) {
@@ -327,7 +313,7 @@
 fn a_search_past_a_started_target_does_not_reset_the_flow() {
     for owner_rank in 1..usize::from(AGENTS) {
         let mut sim = Simulation::new(2, AGENTS, 5, 20);
-        let (number, order) = open_flow_with_owner_at(&mut sim, owner_rank);
+        let (number, order) = sim.open_flow_with_owner_at(owner_rank);
         sim.agents[order[0]].target.is_starting = true;
         let hop = HopMetadata {
             lookup: Lookup::Registered,
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -830,6 +830,20 @@
         owner.expect("the flow is open")
     }
 
+    /// Opens flows through balancer 0 until the owner of one is at position `rank` of its rendezvous
+    /// order. Returns the number of that flow, and the order.
+    pub fn open_flow_with_owner_at(&mut self, rank: usize) -> (u16, Vec<usize>) {
+        for number in 0..200 {
+            let owner = self.open_flow(0, number);
+            self.advance(10);
+            let order = self.flow_order(number);
+            if order[rank] == owner {
+                return (number, order);
+            }
+        }
+        unreachable!("every rank occurs among so many flows");
+    }
+
     /// Number of requests of a flow that targets have received.
     pub fn request_count(&self, number: u16) -> usize {
         let key = flow(number);
