--- a/src/flow/packet.rs
+++ b/src/flow/packet.rs
@@ -121,33 +121,41 @@
     Known,
     /// The agent is a registry agent of the flow.
     Registry,
-    /// The agent is the owner according to a registry agent.
+    /// The agent is the owner according to a registry agent: it has registered the flow itself.
     Registered,
     /// The agent is next in the search through the flow's rendezvous order.
     Search,
+    /// The agent was sent the flow's SYN, according to a registry agent that redirected the SYN.
+    Redirected,
 }
 
-/// Maximum of [`HopMetadata::unasked`]; larger numbers are stored as this one.
-pub const MAX_UNASKED: u8 = 31;
+/// Number of bits of [`HopMetadata::view_digest`].
+pub const VIEW_DIGEST_BITS: u32 = 24;
+/// Number of values of [`HopMetadata::view_generation`].
+pub const VIEW_GENERATIONS: u8 = 16;
 
 /// Metadata that balancers and agents write into a packet for the next hop.
 ///
-/// A target that returns a packet preserves only the first five fields.
+/// A target that returns a packet preserves only the first five fields. In a search the digest takes
+/// the place of the last three fields, which are 0 then.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HopMetadata {
     /// Number of agents that the packet was sent to before; in a search, number of agents that come
-    /// earlier in the rendezvous order and were asked.
+    /// earlier in the rendezvous order and were asked. Larger numbers are stored as 255.
     pub tried: u8,
     /// Lookup stage by which the packet was sent to the agent.
     pub lookup: Lookup,
     /// Whether the search had to skip an agent that may have the flow.
     pub is_incomplete: bool,
-    /// In a search, number of agents that are still to be asked, the receiver included, as far as
-    /// any agent asked before knows; at most [`MAX_UNASKED`].
-    pub unasked: u8,
+    /// Generation of the agent's directory, modulo [`VIEW_GENERATIONS`], when the agent sent the
+    /// packet to its target.
+    pub view_generation: u8,
     /// Tag of the balancer that received the packet from the fabric; 0 if there is none.
     pub entry_tag: u16,
-    /// Tag of the service that the flow was routed to; 0 if not specified.
+    /// In a search, digest of the agents that the sender knows, which has [`VIEW_DIGEST_BITS`] bits;
+    /// 0 otherwise.
+    pub view_digest: u32,
+    /// Tag of the service that the SYN was routed to; 0 if not specified.
     pub service_tag: u16,
     /// Priority of the route's requests; 0 is the highest.
     pub priority: u8,
--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -8,7 +8,8 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
-    agent_flows::{AgentFlow, AgentFlows, CallerPacket, ResponseTiming},
+    absence::{FlowAbsence, TargetAnswer},
+    agent_flows::{AgentFlows, CallerPacket, ResponseTiming},
     agent_lookup::ProbePacket,
     decision::Decision,
     notices::Notice,
@@ -18,10 +19,7 @@
     target::{Heartbeat, HeartbeatOutcome, Target},
 };
 use crate::{
-    flow::{
-        packet::{FlowKey, PacketFormat},
-        table::FlowTable,
-    },
+    flow::{packet::PacketFormat, table::FlowTable},
     membership::instance::{Instance, InstanceRole, TargetLoad, TargetState},
 };
 
@@ -33,6 +31,9 @@
 /// flows again well before this expires.
 const REGISTRATION_TTL_MS: u64 = 60_000;
 
+/// Time for which the agent that a SYN was redirected to is stored. By then the flow is registered.
+const REDIRECT_TTL_MS: u64 = 10_000;
+
 /// Outcome of the handling of a packet by an agent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AgentVerdict<R> {
@@ -58,9 +59,10 @@
     pub(super) format: F,
     /// Flows of the local target.
     pub(super) flows: AgentFlows,
-    /// Owners of the flows for which this agent is a registry agent, and the agents that SYNs were
-    /// redirected to.
+    /// Owners of the flows for which this agent is a registry agent, as registered by themselves.
     pub(super) flow_owners: FlowTable,
+    /// Agents that SYNs were redirected to.
+    pub(super) redirects: FlowTable,
     /// Whether the full list of instances has been read from the store.
     pub(super) members_known: bool,
     /// Version of the newest known route table; 0 before the first one.
@@ -78,9 +80,6 @@
     pub(super) flows_registered_at_ms: u64,
     /// Time of the last sweep of the flow tables.
     pub(super) swept_at_ms: u64,
-    /// Open flows lost with a previous target incarnation, whose callers have not been sent a reset
-    /// yet.
-    pub(super) lost_flows: Vec<(FlowKey, AgentFlow)>,
     /// SYNs waiting for a slot of the target.
     pub(super) syn_queue: SynQueue,
     /// Slot requests and grants exchanged with the sibling agents, which are the other agents of
@@ -108,6 +107,7 @@
             format,
             flows: AgentFlows::new(),
             flow_owners: FlowTable::new(),
+            redirects: FlowTable::new(),
             members_known: false,
             route_version: 0,
             idle_timeout_ms: REGISTRATION_TTL_MS,
@@ -116,7 +116,6 @@
             registered_generation: 0,
             flows_registered_at_ms: now_ms,
             swept_at_ms: now_ms,
-            lost_flows: Vec::new(),
             syn_queue: SynQueue::new(),
             slot_requests: SlotRequests::new(),
             probes: Vec::new(),
@@ -210,8 +209,7 @@
     /// return.
     #[must_use]
     pub fn stays_registered(&self, now_ms: u64) -> bool {
-        let is_heard = self.target.last_heartbeat().is_some();
-        !self.target.has_exited() && (is_heard || self.load(now_ms).flows > 0)
+        !self.target.has_exited() && self.target.state(now_ms) != TargetState::Absent
     }
 
     /// Handles a packet from a balancer or another agent.
@@ -224,7 +222,10 @@
         if segment.opens_flow() {
             return self.handle_syn(datagram, &segment, hop, now_ms);
         }
-        match self.flows.record_caller_packet(flow, &segment, now_ms) {
+        match self
+            .flows
+            .record_caller_packet(flow, &segment, datagram, now_ms)
+        {
             CallerPacket::Known {
                 completes_handshake,
                 starts_request,
@@ -274,12 +275,17 @@
         }
         let hop = self.format.read_hop_metadata(datagram);
         let flow = segment.caller_flow();
+        let open_caller_ack = self.flows.open_caller_ack(flow);
         self.flows.remove(flow, now_ms);
         self.probes.retain(|packet| packet.flow != flow);
         if segment.opens_flow() {
             return self.redirect_syn(datagram, &segment, hop, true, now_ms);
         }
-        self.continue_search(datagram, &segment, hop, now_ms)
+        if let Some(sequence) = open_caller_ack {
+            let absence = FlowAbsence::from_holder();
+            return self.reset_flow(flow, sequence, hop, absence);
+        }
+        self.continue_search(datagram, &segment, hop, TargetAnswer::Denied, now_ms)
     }
 
     /// Records that the full list of instances has been read from the store. Until then a failed
@@ -295,7 +301,7 @@
         let outcome = self.target.apply_heartbeat(heartbeat, now_ms);
         self.flows.set_capacity(self.capacity());
         if outcome == HeartbeatOutcome::Restarted {
-            self.drop_lost_flows();
+            self.probe_open_flows();
         }
         let state = self.target.state(now_ms);
         if matches!(
@@ -325,22 +331,13 @@
         }
     }
 
-    /// Removes all flows after a restart of the target and records the open ones for a reset.
-    fn drop_lost_flows(&mut self) {
-        for (flow, entry) in self.flows.clear() {
-            self.peering.decisions.push(Decision::FlowLost { flow });
-            self.lost_flows.push((flow, entry));
-        }
-    }
-
-    /// Returns the resets for callers whose flows were lost when the target restarted.
-    pub fn take_resets(&mut self) -> Vec<(SocketAddrV4, F::Reset)> {
-        let lost = std::mem::take(&mut self.lost_flows).into_iter();
-        lost.map(|(flow, entry)| {
-            let reset = self.format.reset(flow, entry.caller_ack());
-            (flow.caller, reset)
-        })
-        .collect()
+    /// Asks a new incarnation of the target which of the open flows it holds. It may have opened
+    /// some of them before its first heartbeat; it returns the packets of the others, which were
+    /// lost with the previous incarnation.
+    fn probe_open_flows(&mut self) {
+        let packets = self.flows.restart_target().into_iter();
+        let packets = packets.map(|datagram| (datagram, AgentVerdict::Target));
+        self.dispatched.extend(packets);
     }
 
     /// Sends the current presence and load to all known instances.
@@ -414,6 +411,7 @@
             self.swept_at_ms = now_ms;
             self.flows.sweep(now_ms, self.idle_timeout_ms);
             self.flow_owners.remove_idle(now_ms, REGISTRATION_TTL_MS);
+            self.redirects.remove_idle(now_ms, REDIRECT_TTL_MS);
         }
     }
 
--- a/src/forward/agent_driver.rs
+++ b/src/forward/agent_driver.rs
@@ -119,7 +119,6 @@
                 _ = ticks.tick() => self.tick(leaves_at_ms == u64::MAX),
             }
             self.dispatch_queued();
-            self.send_resets();
             self.record_responses();
             self.io.send_notices(&mut self.core.peering.outbox);
             let now_ms = self.clock.now_ms();
@@ -233,15 +232,6 @@
         caller
     }
 
-    fn send_resets(&mut self) {
-        for (caller, reset) in self.core.take_resets() {
-            self.io
-                .packet_socket
-                .send(reset.as_ref(), self.with_caller_port(caller));
-            self.io.counters.count(Event::ResetSent);
-        }
-    }
-
     fn read_notices(&mut self, buf: &mut [u8; MAX_DATAGRAM_LEN]) {
         let now_ms = self.clock.now_ms();
         let core = &mut self.core;
@@ -256,12 +246,10 @@
             ClusterUpdate::Instances(instances) => {
                 self.core.set_members_known();
                 let version = self.core.route_version();
-                for instance in instances {
-                    let load = Some(self.core.load(now_ms));
-                    self.core
-                        .peering
-                        .add_instance(instance, version, load, now_ms);
-                }
+                let load = self.core.load(now_ms);
+                self.core
+                    .peering
+                    .handle_listing(instances, version, Some(&load), now_ms);
             }
             ClusterUpdate::Routes(routes) => {
                 if self.io.publish_routes(&routes) {
--- a/src/forward/agent_flows.rs
+++ b/src/forward/agent_flows.rs
@@ -40,8 +40,8 @@
 }
 
 /// A flow of the local target.
-#[derive(Clone, Copy, Debug)]
-pub struct AgentFlow {
+#[derive(Clone, Debug)]
+struct AgentFlow {
     stage: Stage,
     /// Time of the last packet in either direction.
     last_packet_at_ms: u64,
@@ -56,6 +56,9 @@
     syn_ack_sequence: Option<u32>,
     /// Time that the SYN spent in the queue; 0 once it has been reported with the first response.
     syn_queued_ms: u64,
+    /// The caller's last packet without data, with which the target can be asked whether it holds
+    /// the flow; empty before the first one.
+    bare_packet: Vec<u8>,
 }
 
 impl AgentFlow {
@@ -67,12 +70,6 @@
                 segment.acknowledged.wrapping_sub(sequence) > MAX_HANDSHAKE_ACK_DISTANCE
             })
     }
-
-    /// Acknowledgement number of the caller's most recent packet.
-    #[must_use]
-    pub fn caller_ack(&self) -> u32 {
-        self.caller_ack
-    }
 }
 
 /// Mean time for which a request occupies a slot. It is computed from slot time and the number of
@@ -261,6 +258,7 @@
             caller_ack: 0,
             syn_ack_sequence: None,
             syn_queued_ms: queued_ms,
+            bare_packet: Vec::new(),
         };
         self.flows.insert(flow, entry);
         self.awaiting_request.push_back((flow, now_ms));
@@ -271,6 +269,7 @@
         &mut self,
         flow: FlowKey,
         segment: &Segment,
+        datagram: &[u8],
         now_ms: u64,
     ) -> CallerPacket {
         let Some(entry) = self.flows.get_mut(&flow) else {
@@ -281,6 +280,10 @@
         }
         entry.last_packet_at_ms = now_ms;
         entry.caller_ack = segment.acknowledged;
+        if segment.data_len == 0 && !segment.flags.rst && !segment.flags.fin {
+            entry.bare_packet.clear();
+            entry.bare_packet.extend_from_slice(datagram);
+        }
         let was_handshaking = entry.stage == Stage::Handshake;
         if was_handshaking {
             entry.stage = Stage::Open;
@@ -325,6 +328,7 @@
             caller_ack: segment.sequence,
             syn_ack_sequence: None,
             syn_queued_ms: 0,
+            bare_packet: Vec::new(),
         });
         if segment.flags.syn {
             entry.syn_ack_sequence = Some(segment.sequence);
@@ -374,13 +378,22 @@
         }
     }
 
-    /// Removes all flows and returns the open ones.
-    pub fn clear(&mut self) -> Vec<(FlowKey, AgentFlow)> {
-        self.requests = 0;
-        self.awaiting_request.clear();
+    /// Acknowledgement number of the caller's most recent packet of a flow that was opened at the
+    /// target and that the target has not closed; `None` if there is no such flow.
+    #[must_use]
+    pub fn open_caller_ack(&self, flow: FlowKey) -> Option<u32> {
+        let entry = self.flows.get(&flow)?;
+        (entry.stage == Stage::Open).then_some(entry.caller_ack)
+    }
+
+    /// Discards what was measured of the previous incarnation of the target, and returns a packet
+    /// of each open flow. The new incarnation returns those of flows that were lost with the
+    /// previous one.
+    pub fn restart_target(&mut self) -> Vec<Vec<u8>> {
         self.service_time = ServiceTime::default();
-        let flows = std::mem::take(&mut self.flows).into_iter();
-        flows.filter(|(_, f)| f.stage == Stage::Open).collect()
+        let open = self.flows.values().filter(|f| f.stage == Stage::Open);
+        let packets = open.map(|entry| entry.bare_packet.clone());
+        packets.filter(|packet| !packet.is_empty()).collect()
     }
 
     /// Stops counting flows as occupied slots whose first request is overdue.
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent_lookup.rs
@@ -4,24 +4,19 @@
 //! its registry agents. A packet of an unknown flow is sent to the registered owner or, if there is
 //! none, to one agent after another in rendezvous order.
 
-use std::sync::Arc;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
+    absence::{self, FlowAbsence, TargetAnswer},
     agent::{AgentCore, AgentVerdict},
     agent_syn::MAX_GRANT_HOPS,
     decision::{Decision, Reason, SearchGap},
 };
 use crate::{
-    flow::packet::{FlowKey, HopMetadata, Lookup, MAX_UNASKED, PacketFormat, Segment},
-    membership::{
-        instance::{Instance, TargetState},
-        rendezvous::{flow_hash, tag},
-    },
+    flow::packet::{FlowKey, HopMetadata, Lookup, PacketFormat, Segment},
+    membership::{instance::TargetState, rendezvous::flow_hash},
 };
 
-/// Maximum number of agents that a packet of an unknown flow is sent to. A search that has asked so
-/// many ends without a reset.
-const MAX_SEARCH_HOPS: u8 = 64;
 /// Number of registry agents per flow, so that the owner is still known when one is dead.
 const OWNER_REPLICAS: usize = 2;
 /// Time within which a target returns a packet of an unknown flow, with a margin for a busy
@@ -43,21 +38,6 @@
     at_ms: u64,
 }
 
-/// Next step of the search for the owner of a flow.
-#[derive(Debug)]
-struct SearchStep {
-    /// The agent to ask next; `None` at the end of the rendezvous order.
-    next: Option<Instance>,
-    lookup: Lookup,
-    /// See [`HopMetadata::tried`].
-    tried: u8,
-    /// See [`HopMetadata::unasked`].
-    unasked: u8,
-    /// Why the search is incomplete; `None` if all agents known here that may hold the flow have
-    /// been asked or are still to be asked.
-    gap: Option<SearchGap>,
-}
-
 impl<F: PacketFormat> AgentCore<F> {
     /// Handles a packet of a flow that the target is not known to hold.
     ///
@@ -72,16 +52,15 @@
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
-        let hop = self.mark_other_service(datagram, flow, hop);
-        if let Some(hop) = Self::owner_hop(hop)
-            && let Some(owner) = self.flow_owners.owner(flow, now_ms)
-            && owner != self.peering.local_instance().packet_address
-        {
+        if let Some((hop, address)) = self.owner_hop(flow, hop, now_ms) {
             self.format.write_hop_metadata(datagram, hop);
-            return AgentVerdict::Instance(owner);
+            return AgentVerdict::Instance(address);
         }
+        let hop = self.check_arrival(flow, hop, now_ms);
+        self.format.write_hop_metadata(datagram, hop);
         if self.target.is_unreachable(now_ms) {
-            return self.continue_search(datagram, segment, hop, now_ms);
+            let answer = TargetAnswer::Unreachable;
+            return self.continue_search(datagram, segment, hop, answer, now_ms);
         }
         if self.probes.len() < MAX_PROBES {
             self.probes.push(ProbePacket {
@@ -93,46 +72,66 @@
         AgentVerdict::Target
     }
 
-    /// Hop metadata with which a packet is sent to the owner known to this agent; `None` if its
-    /// search has gone on without this knowledge.
+    /// The owner of a flow as far as this agent knows it, and the hop metadata with which a packet is
+    /// sent there; `None` if its search has gone on without this knowledge.
     ///
     /// A packet from a balancer may follow the SYN of its flow, which was redirected from agent to
-    /// agent.
-    fn owner_hop(hop: HopMetadata) -> Option<HopMetadata> {
-        let (tried, lookup) = match hop.lookup {
-            Lookup::Known if hop.tried < MAX_GRANT_HOPS => (hop.tried + 1, Lookup::Known),
-            Lookup::Registry => (hop.tried, Lookup::Registered),
-            Lookup::Known | Lookup::Registered | Lookup::Search => return None,
+    /// agent. Only an owner that has registered the flow itself proves by its denial that the flow
+    /// is lost.
+    fn owner_hop(
+        &mut self,
+        flow: FlowKey,
+        hop: HopMetadata,
+        now_ms: u64,
+    ) -> Option<(HopMetadata, SocketAddrV4)> {
+        let local_address = self.peering.local_instance().packet_address;
+        let registered = self.flow_owners.owner(flow, now_ms);
+        let redirected = self.redirects.owner(flow, now_ms);
+        let (lookup, tried, address) = match hop.lookup {
+            Lookup::Known if hop.tried < MAX_GRANT_HOPS => {
+                (Lookup::Known, hop.tried + 1, registered.or(redirected)?)
+            }
+            Lookup::Registry => match registered {
+                Some(address) => (Lookup::Registered, hop.tried, address),
+                None => (Lookup::Redirected, hop.tried, redirected?),
+            },
+            Lookup::Known | Lookup::Registered | Lookup::Search | Lookup::Redirected => {
+                return None;
+            }
         };
-        Some(HopMetadata {
+        let hop = HopMetadata {
             tried,
             lookup,
             ..hop
-        })
+        };
+        (address != local_address).then_some((hop, address))
     }
 
-    /// Marks the search for a flow that was routed to another service as incomplete: it asks only
-    /// agents of the local service.
-    fn mark_other_service(
-        &mut self,
-        datagram: &mut [u8],
-        flow: FlowKey,
-        hop: HopMetadata,
-    ) -> HopMetadata {
-        let local_tag = self.target.service().map_or(0, |name| tag(name));
-        if hop.service_tag == 0 || hop.service_tag == local_tag || hop.is_incomplete {
+    /// Compares the view of the agent that has sent a packet of a search with the local one. Returns
+    /// the hop metadata to send to the target.
+    fn check_arrival(&mut self, flow: FlowKey, hop: HopMetadata, now_ms: u64) -> HopMetadata {
+        let directory = &self.peering.directory;
+        let hop = HopMetadata {
+            view_generation: absence::view_generation(directory.generation()),
+            ..hop
+        };
+        if hop.lookup != Lookup::Search || hop.is_incomplete {
             return hop;
         }
-        let gap = SearchGap::OtherService;
-        self.peering
-            .decisions
-            .push(Decision::SearchIncomplete { flow, gap });
-        let hop = HopMetadata {
+        let view = directory.search_view(flow_hash(flow), 0, now_ms);
+        let Some(gap) = absence::gap_on_arrival(hop, &view) else {
+            return hop;
+        };
+        self.record_gap(flow, gap);
+        HopMetadata {
             is_incomplete: true,
             ..hop
-        };
-        self.format.write_hop_metadata(datagram, hop);
-        hop
+        }
+    }
+
+    fn record_gap(&mut self, flow: FlowKey, gap: SearchGap) {
+        let decision = Decision::SearchIncomplete { flow, gap };
+        self.peering.decisions.push(decision);
     }
 
     /// Continues the search for packets that a target in an unknown state has not returned in time.
@@ -145,7 +144,7 @@
         {
             return;
         }
-        self.resume_search(unreturned, Some(&SearchGap::TargetSilent), now_ms);
+        self.resume_search(unreturned, TargetAnswer::Silent, now_ms);
     }
 
     /// Continues the search for the packets of a flow that the target has reset without being known
@@ -154,27 +153,17 @@
     pub(super) fn resume_denied(&mut self, flow: FlowKey, now_ms: u64) {
         let is_denied = |packet: &mut ProbePacket| packet.flow == flow;
         let denied = self.probes.extract_if(.., is_denied).collect();
-        self.resume_search(denied, None, now_ms);
+        self.resume_search(denied, TargetAnswer::Denied, now_ms);
     }
 
-    /// Continues the search with copies of packets that the target has not returned. `gap` tells
-    /// why the search is incomplete; `None` if the target has denied the flow.
-    fn resume_search(&mut self, packets: Vec<ProbePacket>, gap: Option<&SearchGap>, now_ms: u64) {
-        for ProbePacket {
-            flow, mut datagram, ..
-        } in packets
-        {
+    /// Continues the search with copies of packets that the target has not returned.
+    fn resume_search(&mut self, packets: Vec<ProbePacket>, answer: TargetAnswer, now_ms: u64) {
+        for ProbePacket { mut datagram, .. } in packets {
             let Some(segment) = self.format.decode(&datagram) else {
                 continue;
             };
-            let mut hop = self.format.read_hop_metadata(&datagram);
-            if let Some(gap) = gap.cloned() {
-                self.peering
-                    .decisions
-                    .push(Decision::SearchIncomplete { flow, gap });
-                hop.is_incomplete = true;
-            }
-            let verdict = self.continue_search(&mut datagram, &segment, hop, now_ms);
+            let hop = self.format.read_hop_metadata(&datagram);
+            let verdict = self.continue_search(&mut datagram, &segment, hop, answer, now_ms);
             self.dispatched.push((datagram, verdict));
         }
     }
@@ -194,15 +183,11 @@
 
     /// Registers a flow of the local target with its registry agents.
     pub(super) fn register_flow(&mut self, flow: FlowKey, now_ms: u64) {
-        let Some(service) = self.service() else {
-            return;
-        };
         let local_address = self.peering.local_instance().packet_address;
         let hash = flow_hash(flow);
         for rank in 0..OWNER_REPLICAS {
             let directory = &self.peering.directory;
-            let Some(registry_agent) = directory.registry_agent(hash, &service, rank, now_ms)
-            else {
+            let Some(registry_agent) = directory.registry_agent(hash, rank, now_ms) else {
                 return;
             };
             if !directory.is_local(registry_agent) {
@@ -213,161 +198,135 @@
     }
 
     /// Sends a packet of a flow that the local target does not hold to the next agent in the flow's
-    /// rendezvous order.
-    ///
-    /// A caller that waits for a response is sent a reset at the end of the order, because the flow
-    /// was lost with a previous target incarnation. That is known only if every agent of the
-    /// service has been asked, so each agent on the way compares the agents asked with those that
-    /// it knows.
+    /// rendezvous order, or resets the flow if it is proved to be lost.
     pub(super) fn continue_search(
         &mut self,
         datagram: &mut [u8],
         segment: &Segment,
         hop: HopMetadata,
+        answer: TargetAnswer,
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
         let hash = flow_hash(flow);
-        let reason = Reason::FlowNotFound;
-        let Some(service) = self.service() else {
-            self.peering
-                .decisions
-                .push(Decision::Dropped { flow, reason });
-            return AgentVerdict::Drop;
-        };
-        let registry_step = match hop.lookup {
-            Lookup::Known => self.registry_step(hash, &service, hop, now_ms),
-            Lookup::Registry | Lookup::Registered | Lookup::Search => None,
-        };
-        let SearchStep {
-            next,
-            lookup,
-            tried,
-            unasked,
-            gap,
-        } = registry_step.unwrap_or_else(|| self.search_step(hash, &service, hop, now_ms));
-        let is_last = next.is_none();
-        let is_incomplete = hop.is_incomplete || gap.is_some();
-        if let Some(gap) = gap.filter(|_| !hop.is_incomplete) {
-            self.peering
-                .decisions
-                .push(Decision::SearchIncomplete { flow, gap });
+        if let Some(absence) = FlowAbsence::from_registration(hop.lookup, answer)
+            && !segment.flags.rst
+        {
+            return self.reset_flow(flow, segment.acknowledged, hop, absence);
         }
-        if let Some(next) = next
-            && tried <= MAX_SEARCH_HOPS
+        let directory = &self.peering.directory;
+        if hop.lookup == Lookup::Known
+            && let Some((registry_agent, address)) = self.other_registry_agent(hash, now_ms)
         {
             let hop = HopMetadata {
-                tried,
-                lookup,
-                is_incomplete,
-                unasked,
-                service_tag: 0,
+                tried: hop.tried.saturating_add(1),
+                lookup: Lookup::Registry,
                 ..hop
             };
             self.format.write_hop_metadata(datagram, hop);
             self.peering.decisions.push(Decision::LookedUp {
                 flow,
-                agent: next.name,
-                tried,
+                agent: registry_agent,
+                tried: hop.tried,
             });
-            return AgentVerdict::Instance(next.packet_address);
+            return AgentVerdict::Instance(address);
+        }
+        // A search starts at the top of the order, not below an agent that a balancer took for the
+        // flow's registry agent: balancers may know only some of the agents.
+        let local_weight = directory.local_weight(hash);
+        let (below_weight, tried) = if hop.lookup == Lookup::Search {
+            (local_weight, hop.tried.saturating_add(1))
+        } else {
+            (u64::MAX, 0)
+        };
+        let mut view = directory.search_view(hash, below_weight, now_ms);
+        let mut tried = tried;
+        if view.next.is_some_and(|member| directory.is_local(member)) {
+            view = directory.search_view(hash, local_weight, now_ms);
+            tried = tried.saturating_add(1);
+        }
+        let gap = absence::gap_after_answer(
+            hop,
+            answer,
+            &view,
+            directory.generation(),
+            self.members_known,
+            now_ms,
+        );
+        let is_incomplete = hop.is_incomplete || gap.is_some();
+        let agents = view.agents;
+        let absence = FlowAbsence::from_search(hop, &view, gap.as_ref());
+        let next = view.next.map(|member| {
+            let instance = &member.instance;
+            (Arc::clone(&instance.name), instance.packet_address)
+        });
+        let view_digest = view.digest;
+        if let Some(gap) = gap.filter(|_| !hop.is_incomplete) {
+            self.record_gap(flow, gap);
+        }
+        if let Some((agent, address)) = next {
+            let hop = HopMetadata {
+                tried,
+                lookup: Lookup::Search,
+                is_incomplete,
+                entry_tag: hop.entry_tag,
+                view_digest,
+                ..HopMetadata::default()
+            };
+            self.format.write_hop_metadata(datagram, hop);
+            self.peering
+                .decisions
+                .push(Decision::LookedUp { flow, agent, tried });
+            return AgentVerdict::Instance(address);
         }
         let expects_response = segment.data_len > 0 && !segment.flags.rst;
-        let is_reset = is_last && expects_response && !is_incomplete;
+        let absence = absence.filter(|_| expects_response);
         self.peering.decisions.push(Decision::SearchEnded {
             flow,
             lookup: hop.lookup,
             tried: hop.tried,
-            agents: self.peering.directory.live_agents(&service, now_ms),
+            agents,
             uptime_ms: self.peering.uptime_ms(now_ms),
             is_incomplete,
-            is_reset,
+            is_reset: absence.is_some(),
         });
-        if is_reset {
-            self.peering.decisions.push(Decision::Refused {
-                flow,
-                reason,
-                route_version: self.route_version,
-                tried: hop.tried,
-            });
-            let reset = self.format.reset(flow, segment.acknowledged);
-            return AgentVerdict::Reset(flow.caller, reset);
+        if let Some(absence) = absence {
+            return self.reset_flow(flow, segment.acknowledged, hop, absence);
         }
+        let reason = Reason::FlowNotFound;
         self.peering
             .decisions
             .push(Decision::Dropped { flow, reason });
         AgentVerdict::Drop
     }
 
-    /// The step from a balancer's cached owner that does not hold the flow to a registry agent.
-    /// `None` if there is none but this agent.
-    fn registry_step(
-        &self,
-        hash: u64,
-        service: &str,
+    /// Resets an open flow that is proved to be lost. `sequence` is the acknowledgement number of
+    /// the caller's most recent packet.
+    pub(super) fn reset_flow(
+        &mut self,
+        flow: FlowKey,
+        sequence: u32,
         hop: HopMetadata,
-        now_ms: u64,
-    ) -> Option<SearchStep> {
-        let directory = &self.peering.directory;
-        let ranks = 0..OWNER_REPLICAS;
-        let mut agents =
-            ranks.filter_map(|rank| directory.registry_agent(hash, service, rank, now_ms));
-        let agent = agents.find(|member| !directory.is_local(member))?;
-        Some(SearchStep {
-            next: Some(agent.instance.clone()),
-            lookup: Lookup::Registry,
-            tried: hop.tried.saturating_add(1),
-            unasked: 0,
-            gap: None,
-        })
+        absence: FlowAbsence,
+    ) -> AgentVerdict<F::Reset> {
+        self.peering.decisions.push(Decision::Refused {
+            flow,
+            reason: Reason::FlowLost(absence.into_ground()),
+            route_version: self.route_version,
+            tried: hop.tried,
+        });
+        AgentVerdict::Reset(flow.caller, self.format.reset(flow, sequence))
     }
 
-    /// The next step of a search of the agents of `service`.
-    fn search_step(&self, hash: u64, service: &str, hop: HopMetadata, now_ms: u64) -> SearchStep {
+    /// Name and packet address of the flow's first registry agent other than this one; `None` if
+    /// there is none.
+    fn other_registry_agent(&self, hash: u64, now_ms: u64) -> Option<(Arc<str>, SocketAddrV4)> {
         let directory = &self.peering.directory;
-        // A search starts at the top of the order, whichever agent a balancer took for the flow's
-        // registry agent: balancers may know only some of the agents.
-        let (below, tried) = if hop.lookup == Lookup::Search {
-            let local_weight = directory.local_weight(hash);
-            (local_weight, hop.tried.saturating_add(1))
-        } else {
-            (u64::MAX, 0)
-        };
-        let agent_below = |below| directory.next_in_flow_order(hash, service, below, now_ms);
-        let (next, below, tried) = match agent_below(below) {
-            Some(first) if directory.is_local(first.member) => {
-                let tried = tried.saturating_add(1);
-                (agent_below(first.weight), first.weight, tried)
-            }
-            first => (first, below, tried),
-        };
-        let known = directory.agents_below(hash, service, below, now_ms);
-        let known = u8::try_from(known).unwrap_or(MAX_UNASKED).min(MAX_UNASKED);
-        let (unasked, skipped) = if hop.lookup == Lookup::Search {
-            let before = directory.agents_before_local(hash, service, now_ms);
-            let unasked = known.max(hop.unasked.saturating_sub(1));
-            (unasked, before > usize::from(hop.tried))
-        } else {
-            (known, false)
-        };
-        let awaited = directory.awaited_agent(service, now_ms);
-        let gap = if !self.members_known {
-            Some(SearchGap::InstancesUnknown)
-        } else if skipped || next.is_none() && unasked > 0 {
-            Some(SearchGap::AgentSkipped)
-        } else {
-            awaited.map(|member| SearchGap::AgentSilent {
-                agent: Arc::clone(&member.instance.name),
-                silent_ms: member.silent_ms(now_ms),
-            })
-        };
-        SearchStep {
-            next: next.map(|ranked| ranked.member.instance.clone()),
-            lookup: Lookup::Search,
-            tried,
-            unasked,
-            gap,
-        }
+        let ranks = 0..OWNER_REPLICAS;
+        let mut agents = ranks.filter_map(|rank| directory.registry_agent(hash, rank, now_ms));
+        let agent = agents.find(|member| !directory.is_local(member))?;
+        let instance = &agent.instance;
+        Some((Arc::clone(&instance.name), instance.packet_address))
     }
 
     /// Registers all open flows again when the set of registry agents may have changed, and at a
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent_syn.rs
@@ -341,11 +341,9 @@
     }
 
     /// Records the agent that a SYN was redirected to, so that packets of the flow which a balancer
-    /// sends here can follow it. A registered owner takes precedence.
+    /// sends here can follow it.
     fn record_redirect(&mut self, flow: FlowKey, address: SocketAddrV4, now_ms: u64) {
-        if self.flow_owners.owner(flow, now_ms).is_none() {
-            self.flow_owners.insert(flow, address, now_ms);
-        }
+        self.redirects.insert(flow, address, now_ms);
     }
 
     /// Answers a first SYN with a reset. A retransmitted SYN is dropped without one, because an
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -112,19 +112,17 @@
             return self.place(datagram, &segment, flow, now_ms);
         }
         if let Some(owner) = self.flows.owner(flow, now_ms) {
-            let service = self.routes.service(flow.service, flow_hash(flow));
-            self.write_lookup_hop(datagram, Lookup::Known, service.as_deref());
+            self.write_lookup_hop(datagram, Lookup::Known);
             return Verdict::Send(owner);
         }
         self.look_up(datagram, flow, now_ms)
     }
 
-    /// Writes the hop metadata of a packet of an existing flow to `service`.
-    fn write_lookup_hop(&self, datagram: &mut [u8], lookup: Lookup, service: Option<&str>) {
+    /// Writes the hop metadata of a packet of an existing flow.
+    fn write_lookup_hop(&self, datagram: &mut [u8], lookup: Lookup) {
         let hop = HopMetadata {
             lookup,
             entry_tag: self.local_tag,
-            service_tag: service.map_or(0, tag),
             ..HopMetadata::default()
         };
         self.format.write_hop_metadata(datagram, hop);
@@ -232,15 +230,14 @@
         Verdict::Drop
     }
 
-    /// Sends a packet of an unknown flow to the flow's first registry agent.
+    /// Sends a packet of an unknown flow to the flow's first registry agent. The flow may belong to
+    /// any service, but a flow whose route was removed is not forwarded.
     fn look_up(&mut self, datagram: &mut [u8], flow: FlowKey, now_ms: u64) -> Verdict<F::Reset> {
         let hash = flow_hash(flow);
         let directory = &self.peering.directory;
-        let service = self.routes.service(flow.service, hash);
-        let registry_agent = service
-            .as_deref()
-            .and_then(|service| directory.registry_agent(hash, service, 0, now_ms));
-        let Some(registry_agent) = registry_agent else {
+        let has_route = !self.routes.backends(flow.service).is_empty();
+        let registry_agent = directory.registry_agent(hash, 0, now_ms);
+        let Some(registry_agent) = registry_agent.filter(|_| has_route) else {
             let reason = Reason::FlowNotFound;
             self.peering
                 .decisions
@@ -253,7 +250,7 @@
         self.peering
             .decisions
             .push(Decision::LookedUp { flow, agent, tried });
-        self.write_lookup_hop(datagram, Lookup::Registry, service.as_deref());
+        self.write_lookup_hop(datagram, Lookup::Registry);
         Verdict::Send(address)
     }
 
--- a/src/forward/balancer_driver.rs
+++ b/src/forward/balancer_driver.rs
@@ -132,11 +132,8 @@
         match update {
             ClusterUpdate::StoreReached => self.core.peering.record_store_contact(now_ms),
             ClusterUpdate::Instances(instances) => {
-                for instance in instances {
-                    self.core
-                        .peering
-                        .add_instance(instance, version, None, now_ms);
-                }
+                let peering = &mut self.core.peering;
+                peering.handle_listing(instances, version, None, now_ms);
             }
             ClusterUpdate::Routes(routes) => {
                 if self.io.publish_routes(&routes) {
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,6 +4,7 @@
 
 use slog::{Logger, info, warn};
 
+use super::absence::AbsenceGround;
 use crate::{
     flow::packet::{FlowKey, Lookup},
     membership::{directory::MemberChange, instance::TargetState},
@@ -33,8 +34,10 @@
     NoTarget,
     /// Every target that the SYN was tried at has returned it.
     AllTargetsRefused,
-    /// None of the agents that were tried holds the flow.
+    /// None of the agents that were tried holds the flow, but others may.
     FlowNotFound,
+    /// No target holds the flow any more.
+    FlowLost(AbsenceGround),
     /// No slot will be free before the caller abandons the attempt.
     NoSlotInTime {
         /// Number of queued SYNs.
@@ -54,6 +57,7 @@
             Self::NoTarget => "no_target",
             Self::AllTargetsRefused => "all_targets_refused",
             Self::FlowNotFound => "flow_not_found",
+            Self::FlowLost(ground) => ground.name(),
             Self::AttemptEnded => "attempt_ended",
             Self::NoSlotInTime { .. } => "no_slot_in_time",
         }
@@ -65,11 +69,9 @@
 pub enum SearchGap {
     /// The list of instances has not been read from the store yet.
     InstancesUnknown,
-    /// An agent that another agent knows was not asked, because the one before it in the rendezvous
-    /// order does not know it.
-    AgentSkipped,
-    /// The flow was routed to another service than that of the agent.
-    OtherService,
+    /// The agents that two agents on the way know are not the same, or have changed meanwhile, so
+    /// that one may not have been asked.
+    ViewsDiffer,
     /// The target of an agent that has just started neither returned the packet nor sent a
     /// heartbeat.
     TargetSilent,
@@ -86,8 +88,7 @@
     fn name(&self) -> &'static str {
         match self {
             Self::InstancesUnknown => "instances_unknown",
-            Self::AgentSkipped => "agent_skipped",
-            Self::OtherService => "other_service",
+            Self::ViewsDiffer => "views_differ",
             Self::TargetSilent => "target_silent",
             Self::AgentSilent { .. } => "agent_silent",
         }
@@ -193,7 +194,7 @@
         lookup: Lookup,
         /// See [`crate::flow::packet::HopMetadata::tried`].
         tried: u8,
-        /// Number of live agents of the service that this agent knows, itself included.
+        /// Number of live agents that this agent knows, itself included.
         agents: usize,
         /// Time since the start of this agent, in milliseconds.
         uptime_ms: u64,
@@ -216,11 +217,6 @@
         /// Packet address of the owner.
         owner: SocketAddrV4,
     },
-    /// An open flow was lost because its target restarted.
-    FlowLost {
-        /// The flow.
-        flow: FlowKey,
-    },
     /// Another instance joined, is leaving or reported a new target state.
     MemberChanged {
         /// Name of the instance.
@@ -297,8 +293,7 @@
         match decision {
             Decision::Refused { .. }
             | Decision::SearchEnded { .. }
-            | Decision::TargetReset { .. }
-            | Decision::FlowLost { .. } => &mut self.reset_limit,
+            | Decision::TargetReset { .. } => &mut self.reset_limit,
             Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => {
                 &mut self.member_limit
             }
@@ -317,6 +312,10 @@
         Decision::Queued { .. } => Event::FlowWaits,
         Decision::Admitted { .. } => Event::FlowAdmitted,
         Decision::RequestForwarded { .. } => Event::RequestForwarded,
+        Decision::Refused {
+            reason: Reason::FlowLost(_),
+            ..
+        } => Event::FlowLost,
         Decision::Refused { .. } => Event::FlowRefused,
         Decision::Dropped { .. } => Event::DroppedUnroutable,
         Decision::LookedUp { .. } => Event::FlowLookedUp,
@@ -324,7 +323,6 @@
         Decision::SearchEnded { .. } => Event::FlowSearchEnded,
         Decision::TargetReset { .. } => Event::TargetReset,
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
-        Decision::FlowLost { .. } => Event::FlowLost,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
@@ -408,8 +406,6 @@
             "flow" => %flow, "is_held" => is_held, "left_out" => suppressed),
         Decision::OwnerLearned { flow, owner } => info!(log, "flow owner learned";
             "flow" => %flow, "owner" => %owner, "left_out" => suppressed),
-        Decision::FlowLost { flow } => warn!(log, "flow lost after a target restart";
-            "flow" => %flow, "left_out" => suppressed),
         Decision::MemberChanged {
             name,
             incarnation,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! [`balancer`] and [`agent`] hold the forwarding logic. They do no I/O and take the current time
 //! as an argument. [`balancer_driver`] and [`agent_driver`] run them on sockets.
 
+pub mod absence;
 pub mod agent;
 pub mod agent_driver;
 pub mod agent_flows;
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -230,6 +230,21 @@
         }
     }
 
+    /// Handles the full list of instances in the store.
+    pub fn handle_listing(
+        &mut self,
+        instances: Vec<Instance>,
+        route_version: u64,
+        load: Option<&TargetLoad>,
+        now_ms: u64,
+    ) {
+        let names = instances.iter().map(|i| Arc::clone(&i.name)).collect();
+        for instance in instances {
+            self.add_instance(instance, route_version, load.cloned(), now_ms);
+        }
+        self.directory.set_listed(names);
+    }
+
     /// Adds an instance that was read from the store or named by another instance, and sends it
     /// a presence message if it is new.
     pub fn add_instance(
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
+use crate::flow::packet::VIEW_DIGEST_BITS;
+
 use super::{
     instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
     rendezvous::{name_hash, tag, weight},
@@ -13,7 +15,8 @@
 pub const SUSPECT_AFTER_MS: u64 = 700;
 /// Silence after which an instance is suspected, in percent of the instance's message interval.
 const SUSPECT_AFTER_PERCENT: u64 = 350;
-/// Time for which an instance that has announced its exit is kept, in case it restarts.
+/// Time for which an instance that has announced its exit and holds no flows is kept, in case it
+/// restarts.
 const RESTART_GRACE_MS: u64 = 2_000;
 /// Silence after which an instance is removed; longer than a frozen process or a network partition
 /// is likely to last.
@@ -28,6 +31,7 @@
 
 /// A known instance and its last known state.
 #[derive(Clone, Debug)]
+#[allow(clippy::struct_excessive_bools)] // These are independent conditions.
 pub struct Member {
     /// Identity and addresses of the instance.
     pub instance: Instance,
@@ -38,6 +42,8 @@
     /// Whether the instance itself has been heard from. An unconfirmed instance is known only from
     /// the store or from another instance.
     pub is_confirmed: bool,
+    /// Whether the store listed the instance when the list was last read.
+    pub is_listed: bool,
     /// Whether the instance has announced that it is about to exit.
     pub is_leaving: bool,
     /// Version of the instance's route table; 0 if it has none.
@@ -65,6 +71,7 @@
             instance,
             last_heard_at_ms: now_ms,
             is_confirmed: false,
+            is_listed: false,
             is_leaving: false,
             route_version: 0,
             is_in_rotation: false,
@@ -76,6 +83,13 @@
         }
     }
 
+    /// Replaces the instance by a later incarnation, which the store lists under the same name.
+    fn replace(&mut self, instance: Instance, now_ms: u64) {
+        let is_listed = self.is_listed;
+        *self = Self::new(instance, now_ms);
+        self.is_listed = is_listed;
+    }
+
     /// Whether the instance is considered alive.
     #[must_use]
     pub fn is_alive(&self, now_ms: u64) -> bool {
@@ -100,6 +114,27 @@
             && self.load.flows == 0
     }
 
+    /// Whether a search for a flow asks this agent. An unconfirmed one may not be running.
+    fn is_searched(&self, now_ms: u64) -> bool {
+        self.instance.role == InstanceRole::Agent && self.is_confirmed && self.is_alive(now_ms)
+    }
+
+    /// Whether this agent, which cannot be asked, may return beside a target that holds flows.
+    fn is_awaited(&self, now_ms: u64) -> bool {
+        if self.instance.role != InstanceRole::Agent || self.is_searched(now_ms) {
+            return false;
+        }
+        // An agent whose target was never heard from is treated like an unconfirmed one.
+        let is_unknown = self.load.state == TargetState::Unknown && self.load.flows == 0;
+        let timeout_ms = if self.is_confirmed && !is_unknown {
+            RECOVERY_TIMEOUT_MS
+        } else {
+            DISCOVERY_TIMEOUT_MS
+        };
+        !(self.is_confirmed && self.holds_no_flows())
+            && (self.is_listed || self.silent_ms(now_ms) <= timeout_ms)
+    }
+
     /// Time since the last load report, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
@@ -124,22 +159,20 @@
     Target(TargetState),
 }
 
-/// An agent and its position in a flow's rendezvous order.
+/// Next step of the search for a flow, and what this process knows about the agents that may hold
+/// it.
 #[derive(Clone, Copy, Debug)]
-pub struct RankedMember<'a> {
-    /// The agent's rendezvous weight for the flow.
-    pub weight: u64,
-    /// The agent.
-    pub member: &'a Member,
-}
-
-impl<'a> RankedMember<'a> {
-    fn new(member: &'a Member, flow_hash: u64) -> Self {
-        Self {
-            weight: weight(flow_hash, member.name_hash),
-            member,
-        }
-    }
+pub struct SearchView<'a> {
+    /// The live agent with the highest rendezvous weight below the given one.
+    pub next: Option<&'a Member>,
+    /// Rendezvous weight of `next`; 0 if there is none.
+    pub next_weight: u64,
+    /// Digest of the names of all live agents, of [`VIEW_DIGEST_BITS`] bits.
+    pub digest: u32,
+    /// Number of live agents.
+    pub agents: usize,
+    /// A silent, leaving or unconfirmed agent that may still have flows.
+    pub awaited: Option<&'a Member>,
 }
 
 /// Known instances, sorted by name.
@@ -206,7 +239,7 @@
                 if is_same || member.is_alive(now_ms) {
                     return None;
                 }
-                *member = Member::new(instance, now_ms);
+                member.replace(instance, now_ms);
             }
             Err(index) => self.members.insert(index, Member::new(instance, now_ms)),
         }
@@ -238,7 +271,7 @@
             Ok(index) => {
                 let member = &mut self.members[index];
                 if member.instance.incarnation != instance.incarnation || !member.is_confirmed {
-                    *member = Member::new(instance, now_ms);
+                    member.replace(instance, now_ms);
                     change = Some(MemberChange::Joined);
                 }
                 index
@@ -328,12 +361,24 @@
         }
     }
 
-    /// Removes the instances that have been silent for too long, or have left and not restarted in
-    /// time. Returns their names.
+    /// Records which instances the store lists. The members that it no longer lists are removed once
+    /// they have been silent for too long.
+    pub fn set_listed(&mut self, mut names: Vec<Arc<str>>) {
+        names.sort_unstable();
+        for member in &mut self.members {
+            member.is_listed = names.binary_search(&member.instance.name).is_ok();
+        }
+    }
+
+    /// Removes the instances that the store does not list and that have been silent for too long, or
+    /// have left without flows and not restarted in time. Returns their names.
     pub fn remove_silent(&mut self, now_ms: u64) -> Vec<Arc<str>> {
         let is_kept = |member: &Member| {
             let silent_ms = member.silent_ms(now_ms);
-            silent_ms < REMOVE_AFTER_MS && !(member.is_leaving && silent_ms > RESTART_GRACE_MS)
+            let is_agent = member.instance.role == InstanceRole::Agent;
+            let may_hold_flows = is_agent && !member.holds_no_flows();
+            let has_left = member.is_leaving && !may_hold_flows && silent_ms > RESTART_GRACE_MS;
+            member.is_listed || silent_ms < REMOVE_AFTER_MS && !has_left
         };
         let removed = self.members.iter().filter(|member| !is_kept(member));
         let names: Vec<_> = removed.map(|m| Arc::clone(&m.instance.name)).collect();
@@ -344,86 +389,63 @@
         names
     }
 
-    /// The live agent of a service at position `rank` of a flow's rendezvous order, starting at 0, as
-    /// a registry agent of the flow.
+    /// The live agent at position `rank` of a flow's rendezvous order, starting at 0, as a registry
+    /// agent of the flow. The order does not depend on the service: the routes may have changed since
+    /// the flow was opened.
     ///
     /// Agents without a target are skipped, because they may be removed at any time.
     #[must_use]
-    pub fn registry_agent(
-        &self,
-        flow_hash: u64,
-        service: &str,
-        rank: usize,
-        now_ms: u64,
-    ) -> Option<&Member> {
+    pub fn registry_agent(&self, flow_hash: u64, rank: usize, now_ms: u64) -> Option<&Member> {
         let mut below_weight = u64::MAX;
         let mut found = None;
         for _ in 0..=rank {
-            let next = self
-                .searched_agents(service, now_ms)
-                .filter(|member| member.load.state != TargetState::Absent)
-                .map(|member| RankedMember::new(member, flow_hash))
-                .filter(|ranked| ranked.weight < below_weight)
-                .max_by_key(|ranked| ranked.weight)?;
-            below_weight = next.weight;
-            found = Some(next.member);
+            let members = self.members.iter();
+            let registry_agents = members.filter(|member| {
+                member.is_searched(now_ms) && member.load.state != TargetState::Absent
+            });
+            let (weight, member) = registry_agents
+                .map(|member| (weight(flow_hash, member.name_hash), member))
+                .filter(|(weight, _)| *weight < below_weight)
+                .max_by_key(|(weight, _)| *weight)?;
+            below_weight = weight;
+            found = Some(member);
         }
         found
     }
 
-    /// The live agent of a service with the highest rendezvous weight less than `below_weight`.
+    /// The live agent to ask next for a flow, which has the highest rendezvous weight less than
+    /// `below_weight`, together with what the directory knows about all agents.
     ///
     /// Positions in the order are given as weights instead of ranks, so that two processes that
     /// know different members skip only the members that one of them does not know.
     #[must_use]
-    pub fn next_in_flow_order(
-        &self,
-        flow_hash: u64,
-        service: &str,
-        below_weight: u64,
-        now_ms: u64,
-    ) -> Option<RankedMember<'_>> {
-        self.searched_agents(service, now_ms)
-            .map(|member| RankedMember::new(member, flow_hash))
-            .filter(|ranked| ranked.weight < below_weight)
-            .max_by_key(|ranked| ranked.weight)
-    }
-
-    /// Number of live agents in the rendezvous order of the flows of a service.
-    #[must_use]
-    pub fn live_agents(&self, service: &str, now_ms: u64) -> usize {
-        self.searched_agents(service, now_ms).count()
-    }
-
-    /// Number of live agents of a service that come before the local instance in a flow's
-    /// rendezvous order.
-    #[must_use]
-    pub fn agents_before_local(&self, flow_hash: u64, service: &str, now_ms: u64) -> usize {
-        let local_weight = self.local_weight(flow_hash);
-        self.searched_agents(service, now_ms)
-            .filter(|member| weight(flow_hash, member.name_hash) > local_weight)
-            .count()
-    }
-
-    /// Number of live agents of a service with a rendezvous weight less than `below_weight`.
-    #[must_use]
-    pub fn agents_below(
-        &self,
-        flow_hash: u64,
-        service: &str,
-        below_weight: u64,
-        now_ms: u64,
-    ) -> usize {
-        self.searched_agents(service, now_ms)
-            .filter(|member| weight(flow_hash, member.name_hash) < below_weight)
-            .count()
-    }
-
-    /// Live agents of a service, which a search for a flow asks. Those without a target are among
-    /// them: their last report may be older than their target.
-    fn searched_agents(&self, service: &str, now_ms: u64) -> impl Iterator<Item = &Member> {
-        let members = self.members.iter();
-        members.filter(move |member| member.serves(service) && member.is_alive(now_ms))
+    pub fn search_view(&self, flow_hash: u64, below_weight: u64, now_ms: u64) -> SearchView<'_> {
+        let mut view = SearchView {
+            next: None,
+            next_weight: 0,
+            digest: 0,
+            agents: 0,
+            awaited: None,
+        };
+        // The sum does not depend on the order in which agents were added.
+        let mut digest = 0_u64;
+        for member in &self.members {
+            if !member.is_searched(now_ms) {
+                view.awaited = view
+                    .awaited
+                    .or(Some(member).filter(|m| m.is_awaited(now_ms)));
+                continue;
+            }
+            view.agents += 1;
+            digest = digest.wrapping_add(member.name_hash);
+            let weight = weight(flow_hash, member.name_hash);
+            if weight < below_weight && (view.next.is_none() || weight > view.next_weight) {
+                view.next = Some(member);
+                view.next_weight = weight;
+            }
+        }
+        view.digest = u32::try_from(digest >> (u64::BITS - VIEW_DIGEST_BITS)).unwrap_or_default();
+        view
     }
 
     /// Whether more than half of the other balancers of a failure domain are alive and in rotation,
@@ -451,32 +473,4 @@
     pub fn local_weight(&self, flow_hash: u64) -> u64 {
         weight(flow_hash, name_hash(&self.local_name))
     }
-
-    /// A silent or leaving agent whose target may still have flows of `service`, if there is one.
-    ///
-    /// While there is such an agent, a search that does not find a flow is inconclusive, because
-    /// the agent may recover or restart beside a target that has kept its flows.
-    #[must_use]
-    pub fn awaited_agent(&self, service: &str, now_ms: u64) -> Option<&Member> {
-        self.members.iter().find(|member| {
-            let silent_ms = member.silent_ms(now_ms);
-            let is_agent = member.instance.role == InstanceRole::Agent;
-            let may_serve = member.load.service.is_none() || member.serves(service);
-            if !is_agent || !may_serve {
-                return false;
-            }
-            if member.is_confirmed {
-                // An agent whose target was never heard from is treated like an unconfirmed one.
-                let is_unknown = member.load.state == TargetState::Unknown;
-                let timeout_ms = if is_unknown && member.load.flows == 0 {
-                    DISCOVERY_TIMEOUT_MS
-                } else {
-                    RECOVERY_TIMEOUT_MS
-                };
-                !member.is_alive(now_ms) && !member.holds_no_flows() && silent_ms <= timeout_ms
-            } else {
-                silent_ms <= DISCOVERY_TIMEOUT_MS
-            }
-        })
-    }
 }
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 
 use bamboowind::{
-    flow::packet::{FlowKey, HopMetadata, Lookup, MAX_UNASKED, PacketFormat},
+    flow::packet::{
+        FlowKey, HopMetadata, Lookup, PacketFormat, VIEW_DIGEST_BITS, VIEW_GENERATIONS,
+    },
     forward::registrar::RouteDocument,
 };
 use proptest::prelude::*;
@@ -70,37 +72,37 @@
         Lookup::Registry,
         Lookup::Registered,
         Lookup::Search,
+        Lookup::Redirected,
     ]);
+    let any_class = (any::<u16>(), any::<u8>(), 0_u16..256);
     (
         any::<u8>(),
         any_lookup,
         any::<bool>(),
-        0..=MAX_UNASKED,
+        0..VIEW_GENERATIONS,
         any::<u16>(),
-        any::<u16>(),
-        any::<u8>(),
-        0_u16..256,
+        0_u32..1 << VIEW_DIGEST_BITS,
+        any_class,
     )
         .prop_map(
-            |(
-                tried,
-                lookup,
-                is_incomplete,
-                unasked,
-                entry_tag,
-                service_tag,
-                priority,
-                latency_units,
-            )| {
-                HopMetadata {
+            |(tried, lookup, is_incomplete, view_generation, entry_tag, view_digest, class)| {
+                let hop = HopMetadata {
                     tried,
                     lookup,
                     is_incomplete,
-                    unasked,
+                    view_generation,
                     entry_tag,
+                    ..HopMetadata::default()
+                };
+                if lookup == Lookup::Search {
+                    return HopMetadata { view_digest, ..hop };
+                }
+                let (service_tag, priority, latency_units) = class;
+                HopMetadata {
                     service_tag,
                     priority,
                     target_latency_ms: latency_units * 10,
+                    ..hop
                 }
             },
         )
--- a/tests/reset_gaps.rs
+++ b/tests/reset_gaps.rs
@@ -173,7 +173,7 @@
     (2..5).for_each(|rank| sim.restart_agent(order[rank]));
     sim.advance(200);
     let hop = HopMetadata {
-        lookup: Lookup::Registered,
+        lookup: Lookup::Redirected,
         entry_tag: tag("balancer-1"),
         ..HopMetadata::default()
     };
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -106,7 +106,7 @@
     (0..last).for_each(|rank| sim.restart_agent(order[rank]));
     sim.advance(600);
     let hop = HopMetadata {
-        lookup: Lookup::Registered,
+        lookup: Lookup::Redirected,
         entry_tag: tag("balancer-1"),
         ..HopMetadata::default()
     };
@@ -316,7 +316,7 @@
         let (number, order) = sim.open_flow_with_owner_at(owner_rank);
         sim.agents[order[0]].target.is_starting = true;
         let hop = HopMetadata {
-            lookup: Lookup::Registered,
+            lookup: Lookup::Redirected,
             entry_tag: tag("balancer-1"),
             ..HopMetadata::default()
         };
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -522,23 +522,21 @@
         let mut instances: Vec<_> = registered.map(|agent| agent.instance.clone()).collect();
         let balancers = self.balancers.iter();
         instances.extend(balancers.map(|core| core.peering.local_instance().clone()));
-        for instance in &instances {
-            let is_listed =
-                |to: SocketAddrV4| !self.unlisted.contains(&(instance.control_address, to));
-            for core in &mut self.balancers {
-                if is_listed(core.peering.local_instance().control_address) {
-                    core.peering
-                        .add_instance(instance.clone(), 1, None, self.now_ms);
-                }
-            }
-            for agent in self.agents.iter_mut().filter(|agent| !agent.is_frozen) {
-                if !is_listed(agent.instance.control_address) {
-                    continue;
-                }
-                let load = Some(agent.core.load(self.now_ms));
-                let peering = &mut agent.core.peering;
-                peering.add_instance(instance.clone(), 1, load, self.now_ms);
-            }
+        let unlisted = &self.unlisted;
+        let listing = |to: SocketAddrV4| -> Vec<_> {
+            let listed = instances.iter();
+            let listed = listed.filter(|i| !unlisted.contains(&(i.control_address, to)));
+            listed.cloned().collect()
+        };
+        for core in &mut self.balancers {
+            let listing = listing(core.peering.local_instance().control_address);
+            core.peering.handle_listing(listing, 1, None, self.now_ms);
+        }
+        for agent in self.agents.iter_mut().filter(|agent| !agent.is_frozen) {
+            let load = agent.core.load(self.now_ms);
+            let listing = listing(agent.instance.control_address);
+            let peering = &mut agent.core.peering;
+            peering.handle_listing(listing, 1, Some(&load), self.now_ms);
         }
     }
 
@@ -750,9 +748,6 @@
         for (bytes, verdict) in self.agents[index].core.take_dispatched() {
             self.apply_verdict(index, bytes, verdict);
         }
-        for (to, reset) in self.agents[index].core.take_resets() {
-            self.deliver_to_caller(to, &reset);
-        }
     }
 
     /// Moves a packet as decided by an agent.
