Report the load of a target to a bounded number of instances

Cause: with 204 agents and 91 balancers each agent reported its load to 254 instances, five times a second: 259,000 notices a second in all, more than all packets of flows.

Change: an agent reports to at most 24 balancers, those of its failure domain first, and 16 siblings, chosen by a rendezvous order of its own, at most 400 reports a second in all (before 700). An instance that is no longer chosen is told when the next message follows. Balancers place on targets with a recent report. A lookup whose registry agent does not report here and is late alternates between both registry agents.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -394,12 +394,13 @@
         }
         self.peering.tick(version, Some(load.clone()), now_ms);
         let since_report_ms = now_ms.saturating_sub(self.load_reported_at_ms);
-        let is_due = since_report_ms >= self.peering.load_interval_ms(&load, now_ms);
+        self.peering.update_load_receivers(version, &load, now_ms);
+        let is_due = since_report_ms >= self.peering.load_interval_ms();
         // A load report also serves as a liveness signal, so it is sent even when nothing has
         // changed.
         let is_changed = load.running != self.reported_load.running;
         if is_due && (is_changed || since_report_ms >= u64::from(MAX_LOAD_INTERVAL_MS)) {
-            self.peering.broadcast_load(&load, now_ms);
+            self.peering.broadcast_load(&load);
             self.reported_load = load;
             self.load_reported_at_ms = now_ms;
         }
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -17,6 +17,7 @@
         table::FlowTable,
     },
     membership::{
+        directory::{Member, SUSPECT_AFTER_MS},
         instance::{Instance, TargetState},
         rendezvous::{flow_hash, tag},
     },
@@ -33,6 +34,10 @@
 /// than the interval between presence messages, so at least one of them was lost.
 const MAX_OWNER_SILENCE_MS: u64 = 250;
 
+/// Time for which lookups are sent to the same registry agent; shorter than the time after which
+/// callers retransmit.
+const LOOKUP_TURN_MS: u64 = 150;
+
 /// Outcome of the handling of a packet by a balancer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict<R> {
@@ -236,7 +241,17 @@
         let hash = flow_hash(flow);
         let directory = &self.peering.directory;
         let has_route = !self.routes.backends(flow.service).is_empty();
-        let registry_agent = directory.registry_agent(hash, 0, now_ms);
+        let first = directory.registry_agent(hash, 0, now_ms);
+        // An agent that does not report its load here may be dead for seconds before it is
+        // suspected, so retransmissions alternate between it and the second registry agent.
+        let is_second_turn = now_ms / LOOKUP_TURN_MS % 2 == 1;
+        let is_doubtful = |member: &Member| member.silent_ms(now_ms) >= SUSPECT_AFTER_MS;
+        let registry_agent = match first {
+            Some(member) if is_second_turn && is_doubtful(member) => {
+                directory.registry_agent(hash, 1, now_ms).or(first)
+            }
+            _ => first,
+        };
         let Some(registry_agent) = registry_agent.filter(|_| has_route) else {
             let reason = Reason::FlowNotFound;
             self.peering
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -21,7 +21,13 @@
 /// Minimum interval between two load reports.
 const MIN_LOAD_INTERVAL_MS: u64 = 20;
 /// Maximum number of load reports that an agent sends per second, to all receivers together.
-const MAX_LOADS_PER_S: u64 = 700;
+const MAX_LOADS_PER_S: u64 = 400;
+/// Maximum number of balancers that an agent reports its load to, and how many of them are taken
+/// from its own failure domain first.
+const MAX_LOAD_BALANCERS: usize = 24;
+const LOCAL_LOAD_BALANCERS: usize = 12;
+/// Maximum number of siblings that an agent reports its load to.
+const MAX_LOAD_SIBLINGS: usize = 16;
 /// Interval between two requests for the instances known to others.
 const MEMBERS_REQUEST_INTERVAL_MS: u64 = 2_000;
 /// Time after startup during which every round of presence messages requests the known instances.
@@ -35,12 +41,56 @@
 /// Maximum interval between two load reports, which also serve as liveness signals.
 pub const MAX_LOAD_INTERVAL_MS: u32 = 200;
 
-/// Whether `member` places flows on a target with this load, so that it needs the load reports.
-/// Balancers do, and so do the other agents of the service.
+/// Whether `member` may place flows on a target with this load. Balancers do, and so do the other
+/// agents of the service.
 fn wants_load(member: &Member, load: &TargetLoad) -> bool {
     member.instance.role == InstanceRole::Balancer || member.load.service == load.service
 }
 
+/// Chooses the instances that an agent reports its load to, so that its traffic does not grow with
+/// the deployment. Returns their control addresses, sorted.
+///
+/// Each agent chooses by a rendezvous order of its own, so every balancer is chosen by about as many
+/// agents. Balancers of the agent's failure domain come first, because they place flows there at
+/// the lowest cost.
+///
+/// ```
+/// use bamboowind::forward::peering::choose_load_receivers;
+/// use bamboowind::membership::{directory::Directory, instance::TargetLoad};
+///
+/// let directory = Directory::new("agent-1".into());
+/// assert!(choose_load_receivers(&directory, "a", &TargetLoad::default(), 0).is_empty());
+/// ```
+#[must_use]
+pub fn choose_load_receivers(
+    directory: &Directory,
+    failure_domain: &str,
+    load: &TargetLoad,
+    now_ms: u64,
+) -> Vec<SocketAddrV4> {
+    let candidates = directory.members().iter().filter(|member| {
+        wants_load(member, load) && member.is_alive(now_ms) && !directory.is_local(member)
+    });
+    let mut ranked: Vec<_> = candidates
+        .map(|member| (directory.local_weight(member.name_hash()), member))
+        .collect();
+    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    let (balancers, siblings): (Vec<&Member>, Vec<&Member>) = ranked
+        .into_iter()
+        .map(|(_, member)| member)
+        .partition(|member| member.instance.role == InstanceRole::Balancer);
+    let (local, remote): (Vec<&Member>, Vec<&Member>) = balancers
+        .into_iter()
+        .partition(|member| *member.instance.failure_domain == *failure_domain);
+    let (first, further) = local.split_at(local.len().min(LOCAL_LOAD_BALANCERS));
+    let balancers = first.iter().chain(&remote).chain(further);
+    let balancers = balancers.take(MAX_LOAD_BALANCERS);
+    let chosen = balancers.chain(siblings.iter().take(MAX_LOAD_SIBLINGS));
+    let mut addresses: Vec<_> = chosen.map(|m| m.instance.control_address).collect();
+    addresses.sort_unstable();
+    addresses
+}
+
 /// Knowledge of this process about the other instances, and its own state as announced to them.
 #[derive(Debug)]
 pub struct Peering {
@@ -67,6 +117,10 @@
     swept_at_ms: u64,
     /// Time of the last response of the store to this instance; `None` before the first one.
     store_reached_at_ms: Option<u64>,
+    /// Control addresses of the instances that receive the load reports, sorted; empty at balancers.
+    load_receivers: Vec<SocketAddrV4>,
+    /// Time at which `load_receivers` was last chosen; `None` before the first time.
+    receivers_chosen_at_ms: Option<u64>,
 }
 
 impl Peering {
@@ -87,6 +141,8 @@
             members_requested_at_ms: None,
             swept_at_ms: now_ms,
             store_reached_at_ms: None,
+            load_receivers: Vec::new(),
+            receivers_chosen_at_ms: None,
         }
     }
 
@@ -142,17 +198,30 @@
 
     /// Current interval between two load reports, in milliseconds.
     #[must_use]
-    pub fn load_interval_ms(&self, load: &TargetLoad, now_ms: u64) -> u64 {
-        let receivers = self.load_receivers(load, now_ms).count() as u64;
+    pub fn load_interval_ms(&self) -> u64 {
+        let receivers = self.load_receivers.len() as u64;
         let interval_ms = receivers * 1_000 / MAX_LOADS_PER_S;
         interval_ms.clamp(MIN_LOAD_INTERVAL_MS, MAX_LOAD_INTERVAL_MS.into())
     }
 
-    /// Live instances that place flows on the local target.
-    fn load_receivers(&self, load: &TargetLoad, now_ms: u64) -> impl Iterator<Item = &Member> {
-        self.directory.members().iter().filter(move |member| {
-            wants_load(member, load) && member.is_alive(now_ms) && !self.directory.is_local(member)
-        })
+    /// Chooses the receivers of load reports again when that is due. An instance that is no longer
+    /// one is told when it will be sent the next message, so that it does not suspect this one.
+    pub fn update_load_receivers(&mut self, route_version: u64, load: &TargetLoad, now_ms: u64) {
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < MAX_LOAD_INTERVAL_MS.into();
+        if self.receivers_chosen_at_ms.is_some_and(is_recent) {
+            return;
+        }
+        self.receivers_chosen_at_ms = Some(now_ms);
+        let domain = &self.local_instance.failure_domain;
+        let chosen = choose_load_receivers(&self.directory, domain, load, now_ms);
+        let previous = std::mem::replace(&mut self.load_receivers, chosen);
+        for address in previous {
+            if self.load_receivers.binary_search(&address).is_err() {
+                let presence = self.presence(route_version, Some(load.clone()), now_ms);
+                let notice = Notice::Presence(Box::new(presence), false);
+                self.outbox.push(address, notice);
+            }
+        }
     }
 
     /// Sets whether the fabric sends callers' packets to this instance. Returns whether that has
@@ -210,8 +279,8 @@
         for (index, member) in others.enumerate() {
             let requests_members = wants_members && index as u64 == requested_index;
             let mut presence = presence.clone();
-            let local_load = presence.load.as_ref();
-            if local_load.is_some_and(|load| wants_load(member, load)) {
+            let address = member.instance.control_address;
+            if self.load_receivers.binary_search(&address).is_ok() {
                 presence.next_within_ms = MAX_LOAD_INTERVAL_MS;
             }
             let notice = Notice::Presence(presence, requests_members);
@@ -314,12 +383,10 @@
         }
     }
 
-    /// Sends a load report to the instances that place flows on the local target.
-    pub fn broadcast_load(&mut self, load: &TargetLoad, now_ms: u64) {
-        let receivers = self.load_receivers(load, now_ms);
-        let addresses: Vec<_> = receivers.map(|m| m.instance.control_address).collect();
-        for address in addresses {
-            self.outbox.push(address, Notice::Load(load.clone()));
+    /// Sends a load report to its receivers.
+    pub fn broadcast_load(&mut self, load: &TargetLoad) {
+        for address in &self.load_receivers {
+            self.outbox.push(*address, Notice::Load(load.clone()));
         }
     }
 
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -101,6 +101,12 @@
         !self.is_leaving && now_ms.saturating_sub(self.last_heard_at_ms) < timeout_ms
     }
 
+    /// Hash of the instance's name.
+    #[must_use]
+    pub fn name_hash(&self) -> u64 {
+        self.name_hash
+    }
+
     /// Whether the instance is an agent whose target belongs to `service`.
     #[must_use]
     pub fn serves(&self, service: &str) -> bool {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,7 +6,7 @@
 //! that is beneficial.
 
 use crate::membership::{
-    directory::{Directory, Member},
+    directory::{Directory, Member, SUSPECT_AFTER_MS},
     instance::{TargetLoad, TargetState},
 };
 
@@ -122,7 +122,12 @@
             && request.excluded != Some(&*member.instance.name)
     };
     let median_us = median_service_time_us(directory, request.service);
-    let members: Vec<&Member> = directory.members().iter().filter(accepts_flows).collect();
+    let mut members: Vec<&Member> = directory.members().iter().filter(accepts_flows).collect();
+    // In a large deployment only some of the agents report their load to this instance.
+    let is_reporting = |member: &&Member| member.load_age_ms(request.now_ms) < SUSPECT_AFTER_MS;
+    if members.iter().any(is_reporting) {
+        members.retain(is_reporting);
+    }
     sample(request.hash, members.len())
         .filter_map(|index| members.get(index))
         .min_by_key(|member| {
