Do not relay a response whose end cannot be verified

Cause: a response without a length and without chunks ends with the target's connection, and a target that crashes closes its connection as well, so the caller got a part of a response as a complete success.

Change: such a response is answered with 502 and outcome-unknown, which names the remedy.

Test: failures_of_targets_are_reported_with_the_right_outcome has a new case that failed before (status 200 with a part of the body). a_second_copy_of_a_response_reaches_no_other_request passed from the start: connections to targets are not reused.

--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body_util::combinators::BoxBody;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1,
+};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::{net::TcpStream, task::JoinHandle, time};
@@ -47,6 +50,16 @@
     _connection: ConnectionTaskGuard,
 }
 
+impl TargetResponse {
+    /// Whether the end of the body can be told from a connection that broke. It cannot if the body
+    /// ends with the connection, which a target that crashes also closes.
+    pub fn has_verifiable_end(&self) -> bool {
+        let has_length = self.response.body().size_hint().exact().is_some();
+        let headers = self.response.headers();
+        has_length || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// Aborts the task that drives a connection when dropped, which closes the connection.
 struct ConnectionTaskGuard(JoinHandle<()>);
 
--- a/src/agent/request.rs
+++ b/src/agent/request.rs
@@ -38,6 +38,9 @@
 /// Maximum time for which the end of a response is delayed until the key's owner has stored the
 /// outcome.
 const SETTLE_WAIT_MS: u64 = 200;
+/// Detail of the error response to a request whose response ends with the target's connection.
+const UNFRAMED_RESPONSE: &str = "the target's response has neither a length nor chunks, so its end \
+    cannot be verified; let the target send Content-Length";
 /// Interval between searches for a slot at other agents while a request is queued.
 const SEARCH_INTERVAL_MS: u64 = 2;
 /// Retry delay of a duplicate of a running request.
@@ -330,7 +333,14 @@
             () = wait_until_abandoned(context) => return CompletionStatus::Cancelled,
         };
         match result {
-            Ok(response) => self.relay(context, claim, response, send).await,
+            Ok(response) if response.has_verifiable_end() => {
+                self.relay(context, claim, response, send).await
+            }
+            Ok(_) => {
+                claim.settle(Some(Outcome::Unknown)).await;
+                let problem = Problem::unknown(StatusCode::BAD_GATEWAY, UNFRAMED_RESPONSE);
+                fail(send, &problem).await
+            }
             Err(error) => {
                 claim.settle(Some(Outcome::Unknown)).await;
                 let problem = Problem::unknown(lost_response_status(&error), error.to_string());
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -251,6 +251,12 @@
         truncated.is_err(),
         "a truncated response was accepted as complete: {truncated:?}"
     );
+    // Its end is the end of the connection, which also a target that crashes closes.
+    let unframed = caller.call(&Call::get("/unframed")).await;
+    assert!(
+        !unframed.as_ref().is_ok_and(|r| r.status.is_success()),
+        "a response whose end cannot be verified was accepted as complete: {unframed:?}"
+    );
     drop(faulty);
     wait_until("the port of the target is closed", || async {
         let response = caller
@@ -262,6 +268,25 @@
     .await;
 }
 
+// A second copy of a response arrives while the caller's connection is in use again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_of_a_response_reaches_no_other_request() {
+    let mut cluster = TestCluster::start(2).await;
+    let faulty = FaultyTarget::start().await;
+    cluster.add_agent(0, "norte", faulty.address);
+    cluster.wait_for_targets(1).await;
+    let caller = cluster.connect_caller(0).await;
+    for round in 0..20 {
+        let first = caller.call(&Call::get(&format!("/twice/{round}"))).await;
+        let own = caller.call(&Call::get(&format!("/own/{round}"))).await;
+        for (path, response) in [("twice", first), ("own", own)] {
+            let response = response.expect("failed to get a response");
+            let body = String::from_utf8_lossy(&response.body).into_owned();
+            assert_eq!(body, format!("/{path}/{round}"));
+        }
+    }
+}
+
 /// A target that fails in the way that the request path names.
 struct FaultyTarget {
     address: std::net::SocketAddr,
@@ -300,6 +325,20 @@
     match path {
         "/rubbish" => drop(stream.write_all(b"\x00\x01 nonsense \r\n\r\n").await),
         "/hang" => std::future::pending().await,
+        path if path.starts_with("/twice/") || path.starts_with("/own/") => {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", path.len());
+            let response = format!("{head}{path}");
+            drop(stream.write_all(response.as_bytes()).await);
+            if path.starts_with("/twice/") {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                drop(stream.write_all(response.as_bytes()).await);
+            }
+        }
+        "/unframed" => drop(
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\n\r\nonly this mu")
+                .await,
+        ),
         "/half" => {
             let head_and_partial_body =
                 b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nonly this much";
