Do not place flows on a draining target after a restart of its agent

Cause: a restarted agent takes a target that sends packets for ready until its next heartbeat. A draining target that completes its flows sends packets too, so it was placed new flows (10 of 39 in the test) although it had announced its exit.

Change: an instance that hears of a later incarnation of an agent tells it whether its target was draining. The agent then waits for a heartbeat. After a loss of all processes at once nobody remembers, and the target counts as ready as before, until its heartbeat.

Test: a_draining_target_gets_no_new_flow_after_a_restart_of_its_agent failed before. a_target_that_has_exited_gets_no_new_flow_after_restarts_of_all_balancers passed from the start.

--- a/src/forward/agent.rs
+++ b/src/forward/agent.rs
@@ -354,6 +354,9 @@
         let version = self.route_version;
         match notice {
             Notice::Presence(presence, wants_members) => {
+                if presence.receiver_was_draining {
+                    self.target.record_draining();
+                }
                 let load = Some(self.load(now_ms));
                 self.peering
                     .handle_presence(*presence, wants_members, version, load, now_ms);
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -53,6 +53,7 @@
                 reaches_store: presence.reaches_store,
                 is_in_rotation: presence.is_in_rotation,
                 next_within_ms: presence.next_within_ms,
+                receiver_was_draining: presence.receiver_was_draining,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
             Self::FlowOwner { owner, flows } => Body::FlowOwner(wire::FlowOwner {
@@ -83,6 +84,7 @@
                     reaches_store: presence.reaches_store,
                     is_in_rotation: presence.is_in_rotation,
                     next_within_ms: presence.next_within_ms,
+                    receiver_was_draining: presence.receiver_was_draining,
                 }),
                 presence.wants_members,
             ),
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -187,6 +187,7 @@
             reaches_store: self.reaches_store(now_ms),
             is_in_rotation: self.is_in_rotation && !self.is_leaving,
             next_within_ms: u32::try_from(self.presence_interval_ms()).unwrap_or(u32::MAX),
+            receiver_was_draining: false,
         }
     }
 
@@ -351,7 +352,11 @@
         let incarnation = presence.instance.incarnation;
         let change = self.directory.handle_presence(presence, now_ms);
         if change == Some(MemberChange::Joined) || wants_members {
-            let reply = Box::new(self.presence(route_version, load, now_ms));
+            let sender = self.directory.member(&name);
+            let reply = Box::new(Presence {
+                receiver_was_draining: sender.is_some_and(|member| member.was_draining),
+                ..self.presence(route_version, load, now_ms)
+            });
             self.outbox.push(address, Notice::Presence(reply, false));
         }
         if wants_members {
--- a/src/forward/target.rs
+++ b/src/forward/target.rs
@@ -86,6 +86,8 @@
     started_at_ms: u64,
     /// Time of the target's last packet of a flow that it holds; `None` before the first one.
     last_packet_at_ms: Option<u64>,
+    /// Whether the target was draining before the agent started, according to other instances.
+    was_draining: bool,
 }
 
 impl Target {
@@ -110,6 +112,7 @@
             expected_service: None,
             started_at_ms: 0,
             last_packet_at_ms: None,
+            was_draining: false,
         }
     }
 
@@ -138,6 +141,7 @@
         let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
         self.last_heartbeat.is_none()
             && self.expected_service.is_some()
+            && !self.was_draining
             && self.last_packet_at_ms.is_some()
             && uptime_ms < STARTUP_INTERVALS * self.heartbeat_interval_ms
     }
@@ -241,6 +245,12 @@
         is_current
     }
 
+    /// Records that the target was draining before the agent started. It is not taken for ready
+    /// before a heartbeat says so.
+    pub fn record_draining(&mut self) {
+        self.was_draining = true;
+    }
+
     /// Records that a SYN was sent to the target.
     pub fn record_syn(&mut self, now_ms: u64) {
         self.unanswered_since_ms.get_or_insert(now_ms);
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -46,6 +46,9 @@
     pub is_listed: bool,
     /// Whether the instance has announced that it is about to exit.
     pub is_leaving: bool,
+    /// Whether the instance's target was draining according to the last report of an earlier
+    /// incarnation of the instance.
+    pub was_draining: bool,
     /// Version of the instance's route table; 0 if it has none.
     pub route_version: u64,
     /// Whether the fabric sends callers' packets to the instance.
@@ -73,6 +76,7 @@
             is_confirmed: false,
             is_listed: false,
             is_leaving: false,
+            was_draining: false,
             route_version: 0,
             is_in_rotation: false,
             reached_store_at_ms: None,
@@ -86,8 +90,16 @@
     /// Replaces the instance by a later incarnation, which the store lists under the same name.
     fn replace(&mut self, instance: Instance, now_ms: u64) {
         let is_listed = self.is_listed;
-        *self = Self::new(instance, now_ms);
-        self.is_listed = is_listed;
+        let was_draining = match self.load.state {
+            TargetState::Draining => true,
+            TargetState::Unknown => self.was_draining,
+            TargetState::Ready | TargetState::Unresponsive | TargetState::Absent => false,
+        };
+        *self = Self {
+            is_listed,
+            was_draining,
+            ..Self::new(instance, now_ms)
+        };
     }
 
     /// Whether the instance is considered alive.
@@ -218,6 +230,12 @@
             .binary_search_by(|member| (*member.instance.name).cmp(name))
     }
 
+    /// Member with this name.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.find(name).ok().map(|index| &self.members[index])
+    }
+
     /// Member whose packet address is `address`.
     #[must_use]
     pub fn by_packet_address(&self, address: SocketAddrV4) -> Option<&Member> {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -176,4 +176,7 @@
     pub is_in_rotation: bool,
     /// Time within which the sender will send the receiver its next message, in milliseconds.
     pub next_within_ms: u32,
+    /// Whether the target of the receiver was draining according to the last report of the
+    /// receiver's previous incarnation.
+    pub receiver_was_draining: bool,
 }
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -83,6 +83,10 @@
     /// dead.
     #[prost(uint32, tag = "8")]
     pub next_within_ms: u32,
+    /// Whether the target of the receiver was draining when the receiver's previous incarnation last
+    /// reported it. A started agent does not take such a target for ready before its next heartbeat.
+    #[prost(bool, tag = "9")]
+    pub receiver_was_draining: bool,
 }
 /// Load of a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -311,3 +311,47 @@
         );
     }
 }
+
+// A restarted agent takes a target that sends packets for ready, but not one that was draining.
+#[test]
+fn a_draining_target_gets_no_new_flow_after_a_restart_of_its_agent() {
+    let mut sim = Simulation::new(2, 3, 5, 100);
+    let owner = sim.open_flow(0, 0);
+    sim.agents[owner].is_draining = true;
+    sim.advance(4_000);
+    // The next heartbeat of the target follows almost an interval after the restart.
+    sim.advance(520 - sim.now_ms % 500);
+    sim.send_from_caller(0, sim.request(0));
+    sim.restart_agent(owner);
+    sim.agents[owner].is_draining = true;
+    let syns = sim.agents[owner].target.syns;
+    for number in 1..40 {
+        sim.advance(10);
+        sim.send_from_caller(usize::from(number % 2), simulation::syn(number, 0));
+    }
+    assert!(sim.now_ms % 500 > 300, "before the next heartbeat");
+    assert_eq!(sim.agents[owner].target.syns, syns);
+    assert!(!sim.was_reset(0));
+}
+
+// What an agent knew of its target's exit outlasts the restart of all balancers.
+#[test]
+fn a_target_that_has_exited_gets_no_new_flow_after_restarts_of_all_balancers() {
+    let mut sim = Simulation::new(3, 3, 5, 20);
+    let gone = sim.open_flow(0, 0);
+    sim.agents[gone]
+        .core
+        .handle_target_exit(&format!("target-{gone}-1"), sim.now_ms);
+    sim.advance(100);
+    sim.leave_agent(gone);
+    let syns = sim.agents[gone].target.syns;
+    for number in 1..60 {
+        if number % 10 == 1 {
+            (0..3).for_each(|index| sim.restart_balancer(index));
+            sim.advance(50);
+        }
+        sim.send_from_caller(usize::from(number % 3), simulation::syn(number, 0));
+        sim.advance(100);
+    }
+    assert_eq!(sim.agents[gone].target.syns, syns);
+}
