--- /dev/null
+++ b/tests/reset_model.rs
@@ -0,0 +1,112 @@
+//! State machine of lookups, membership and route versions, run against the forwarding cores: no
+//! schedule of all kinds of events together resets an open flow that a live target holds.
+
+mod simulation;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use simulation::schedule::{Event, Run};
+
+const BALANCERS: usize = 3;
+const AGENTS: usize = 6;
+
+/// What the schedule needs to know to be meaningful.
+#[derive(Clone, Debug)]
+struct Model {
+    /// Whether each agent is running.
+    is_up: [bool; AGENTS],
+    /// Whether each agent process is frozen.
+    is_frozen: [bool; AGENTS],
+}
+
+impl ReferenceStateMachine for Model {
+    type State = Self;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self {
+            is_up: [true; AGENTS],
+            is_frozen: [false; AGENTS],
+        })
+        .boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Event> {
+        let agent = 0..AGENTS;
+        let receiver = 0..BALANCERS + AGENTS;
+        let path = (agent.clone(), receiver);
+        prop_oneof![
+            3 => (0..BALANCERS).prop_map(Event::Open),
+            6 => (0..BALANCERS).prop_map(Event::Requests),
+            6 => prop::sample::select(vec![10, 50, 200, 500, 1_000, 4_000])
+                .prop_map(Event::Advance),
+            2 => (0..BALANCERS).prop_map(Event::RestartBalancer),
+            2 => agent.clone().prop_map(Event::RestartAgent),
+            2 => agent.clone().prop_map(Event::LeaveOrReturn),
+            2 => path.clone().prop_map(|(agent, to)| Event::LoseNotices(agent, to)),
+            1 => path.prop_map(|(agent, to)| Event::DelayNotices(agent, to)),
+            2 => agent.clone().prop_map(Event::RestartTarget),
+            1 => agent.clone().prop_map(Event::Drain),
+            1 => agent.clone().prop_map(Event::Freeze),
+            1 => (0..3_usize).prop_map(Event::ChangeRoutes),
+            1 => agent.prop_map(Event::ReuseAddress),
+        ]
+        .boxed()
+    }
+
+    fn preconditions(state: &Self, event: &Event) -> bool {
+        match event {
+            // A stopped process neither freezes nor restarts, and a frozen one does not stop.
+            Event::RestartAgent(index) => state.is_up[*index],
+            Event::LeaveOrReturn(index) => !state.is_frozen[*index],
+            Event::Freeze(index) => state.is_up[*index],
+            _ => true,
+        }
+    }
+
+    fn apply(mut state: Self, event: &Event) -> Self {
+        match event {
+            Event::RestartAgent(index) => state.is_frozen[*index] = false,
+            Event::LeaveOrReturn(index) => state.is_up[*index] ^= true,
+            Event::Freeze(index) => state.is_frozen[*index] ^= true,
+            _ => {}
+        }
+        state
+    }
+}
+
+/// The forwarding cores under test.
+struct Cores;
+
+impl StateMachineTest for Cores {
+    type SystemUnderTest = Run;
+    type Reference = Model;
+
+    fn init_test(_: &Model) -> Run {
+        Run::new((6, 5, 20))
+    }
+
+    fn apply(mut run: Run, _: &Model, event: Event) -> Run {
+        if let Err(reason) = run.apply(event) {
+            panic!("{reason}");
+        }
+        run
+    }
+}
+
+/// Configuration with the same cases in each run, unless the environment sets another seed.
+fn fixed_cases() -> ProptestConfig {
+    let config = ProptestConfig::default();
+    let rng_seed = match config.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(1),
+        fixed @ RngSeed::Fixed(_) => fixed,
+    };
+    ProptestConfig { rng_seed, ..config }
+}
+
+prop_state_machine! {
+    #![proptest_config(fixed_cases())]
+
+    #[test]
+    fn no_mixed_schedule_resets_an_open_flow(sequential 1..60 => Cores);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -27,6 +27,7 @@
 
 #[path = "../../platform/packet.rs"]
 pub mod packet;
+pub mod schedule;
 
 use packet::{HEADER_LEN, PlatformPacket};
 
@@ -48,8 +49,10 @@
 const MAX_TARGETS: u32 = 64;
 /// Interval between heartbeats of a target.
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
-/// Name of the only service.
+/// Name of the service of all targets, unless a test changes that.
 pub const SERVICE: &str = "catalogo";
+/// Name of a second service behind the same address.
+pub const OTHER_SERVICE: &str = "sonoteca";
 
 /// Address that callers open flows to.
 pub fn service_address() -> SocketAddrV4 {
@@ -310,6 +313,12 @@
     /// Control addresses of instances and of the receivers that are told of them by neither the
     /// store nor other instances.
     pub unlisted: HashSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Control addresses of senders and receivers between which notices are held back.
+    delayed: HashSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Notices that are held back, with their senders and receivers.
+    held_notices: Vec<(SocketAddrV4, SocketAddrV4, Notice)>,
+    /// Newest route table, which balancers know.
+    pub routes: Arc<RouteTable>,
     /// Service that the settings of a started agent name.
     pub expected_service: &'static str,
     /// Number of slots of each target.
@@ -364,6 +373,9 @@
             callers: HashMap::new(),
             lost_notices: HashSet::new(),
             unlisted: HashSet::new(),
+            delayed: HashSet::new(),
+            held_notices: Vec::new(),
+            routes: routes(1),
             expected_service: SERVICE,
             capacity,
             service_ms,
@@ -389,7 +401,7 @@
             incarnation,
         );
         let mut core = BalancerCore::new(PlatformPacket, own, Vec::new(), self.now_ms);
-        core.set_routes(routes(1));
+        core.set_routes(Arc::clone(&self.routes));
         core
     }
 
@@ -425,6 +437,28 @@
         }
     }
 
+    /// Gives all balancers a newer route table.
+    pub fn set_routes(&mut self, routes: Arc<RouteTable>) {
+        for core in &mut self.balancers {
+            core.set_routes(Arc::clone(&routes));
+        }
+        self.routes = routes;
+    }
+
+    /// Holds back the notices of this sender to this receiver, or delivers those that were.
+    pub fn toggle_delay(&mut self, pair: (SocketAddrV4, SocketAddrV4)) {
+        if self.delayed.insert(pair) {
+            return;
+        }
+        self.delayed.remove(&pair);
+        let is_due = |held: &mut (SocketAddrV4, SocketAddrV4, Notice)| (held.0, held.1) == pair;
+        let due: Vec<_> = self.held_notices.extract_if(.., is_due).collect();
+        for (from, to, notice) in due {
+            self.deliver_notice(from, to, notice);
+        }
+        self.deliver_notices();
+    }
+
     /// Restarts a balancer, which then knows only the instances in the store.
     pub fn restart_balancer(&mut self, index: usize) {
         let host = u8::try_from(index).expect("few balancers");
@@ -568,23 +602,32 @@
                     let unlisted = &self.unlisted;
                     instances.retain(|other| !unlisted.contains(&(other.control_address, to)));
                 }
-                let mut balancers = self.balancers.iter_mut();
-                if let Some(core) =
-                    balancers.find(|core| core.peering.local_instance().control_address == to)
-                {
-                    core.handle_notice(from, notice, self.now_ms);
+                if self.delayed.contains(&(from, to)) {
+                    self.held_notices.push((from, to, notice));
                     continue;
                 }
-                let mut agents = self.agents.iter_mut();
-                if let Some(agent) =
-                    agents.find(|agent| agent.instance.control_address == to && agent.is_up)
-                {
-                    if agent.is_frozen {
-                        agent.unread.push(Unread::Notice(from, notice));
-                    } else {
-                        agent.core.handle_notice(from, notice, self.now_ms);
-                    }
-                }
+                self.deliver_notice(from, to, notice);
+            }
+        }
+    }
+
+    /// Delivers a notice to the instance at control address `to`, if its process is running.
+    fn deliver_notice(&mut self, from: SocketAddrV4, to: SocketAddrV4, notice: Notice) {
+        let mut balancers = self.balancers.iter_mut();
+        if let Some(core) =
+            balancers.find(|core| core.peering.local_instance().control_address == to)
+        {
+            core.handle_notice(from, notice, self.now_ms);
+            return;
+        }
+        let mut agents = self.agents.iter_mut();
+        if let Some(agent) =
+            agents.find(|agent| agent.instance.control_address == to && agent.is_up)
+        {
+            if agent.is_frozen {
+                agent.unread.push(Unread::Notice(from, notice));
+            } else {
+                agent.core.handle_notice(from, notice, self.now_ms);
             }
         }
     }
