Test that a redirected SYN is no registration

The second test shows that a flow lost at its registered owner is reset while another agent is away.

--- a/tests/reset_gaps.rs
+++ b/tests/reset_gaps.rs
@@ -12,7 +12,7 @@
     forward::notices::Notice,
     membership::rendezvous::tag,
 };
-use simulation::{SERVICE, Simulation, flow, service_address};
+use simulation::{SERVICE, Simulation, flow, service_address, syn};
 
 const AGENTS: u8 = 6;
 
@@ -202,3 +202,50 @@
     assert!(sim.agents[order[2]].target.flows.contains(&flow(number)));
     assert!(!sim.was_reset(number), "the target holds the flow");
 }
+
+// The agent that a SYN was redirected to has not opened the flow if a copy of the SYN did elsewhere.
+#[test]
+fn the_denial_of_an_agent_that_a_syn_was_redirected_to_does_not_reset_the_flow() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    let (registry_agent, owner) = (order[0], order[2]);
+    let path = (sim.agent_address(owner), sim.agent_address(registry_agent));
+    sim.lost_notices.insert(path);
+    sim.restart_agent(registry_agent);
+    sim.agents[registry_agent].is_draining = true;
+    sim.agents[owner].is_draining = true;
+    sim.advance(600);
+    let new_flow = HopMetadata {
+        service_tag: tag(SERVICE),
+        entry_tag: tag("balancer-0"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(registry_agent, syn(number, 1), new_flow);
+    let mut others = (0..usize::from(AGENTS)).filter(|index| *index != owner);
+    assert!(others.any(|index| sim.agents[index].target.flows.contains(&flow(number))));
+    let lookup = HopMetadata {
+        lookup: Lookup::Registry,
+        entry_tag: tag("balancer-0"),
+        ..HopMetadata::default()
+    };
+    sim.send_to_agent(registry_agent, sim.request(number), lookup);
+    assert!(sim.agents[owner].target.flows.contains(&flow(number)));
+    assert!(!sim.was_reset(number), "the target holds the flow");
+}
+
+// The denial of the agent that has registered the flow is proof, whoever else is silent.
+#[test]
+fn a_flow_lost_at_its_registered_owner_is_reset_while_another_agent_is_away() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    let owner = order[2];
+    sim.restart_target(owner);
+    sim.restart_agent(owner);
+    sim.leave_agent(order[5]);
+    sim.advance(20);
+    sim.restart_balancer(1);
+    sim.advance(100);
+    sim.send_from_caller(1, sim.request(number));
+    sim.advance(100);
+    assert!(sim.was_reset(number), "the target has lost the flow");
+}
