--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -66,6 +66,27 @@
     }
 }
 
+// Agents of earlier builds forward packets beside later ones while those are rolled out. They read
+// the third bit of the lookup byte as that of an incomplete search.
+#[test]
+fn searches_through_agents_of_two_versions_are_incomplete() {
+    let mut bytes = vec![0; 36];
+    for lookup in [Lookup::Search, Lookup::Registered] {
+        let hop = HopMetadata {
+            lookup,
+            ..HopMetadata::default()
+        };
+        PlatformPacket.write_hop_metadata(&mut bytes, hop);
+        assert_ne!(bytes[33] & 4, 0, "incomplete to an earlier version");
+    }
+    for (encoded, lookup) in [(2, Lookup::Redirected), (3, Lookup::Search)] {
+        bytes[11..16].fill(0);
+        bytes[33] = encoded;
+        let hop = PlatformPacket.read_hop_metadata(&bytes);
+        assert_eq!((hop.lookup, hop.view_digest), (lookup, 0));
+    }
+}
+
 fn any_hop_metadata() -> impl Strategy<Value = HopMetadata> {
     let any_lookup = prop::sample::select(vec![
         Lookup::Known,
