Give agents and balancers a folder each in forward/

Moves files and changes paths only: forward/agent/ and forward/balancer/ hold one role each, what both use stays beside them. The packets that wait for an answer of the target have their own file, so that the core of the agent and its lookup no longer import each other.

--- a/src/forward/agent.rs
+++ b/src/forward/agent/core.rs
@@ -8,18 +8,20 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
-    absence::{FlowAbsence, TargetAnswer},
-    agent_flows::{AgentFlows, CallerPacket, ResponseTiming},
-    agent_lookup::ProbePacket,
-    decision::Decision,
-    notices::Notice,
-    peering::{MAX_LOAD_INTERVAL_MS, Peering},
+    flows::{AgentFlows, CallerPacket, ResponseTiming},
+    probe::ProbePacket,
     slot_requests::SlotRequests,
     syn_queue::SynQueue,
     target::{Heartbeat, HeartbeatOutcome, Target},
 };
 use crate::{
     flow::{packet::PacketFormat, table::FlowTable},
+    forward::{
+        absence::{FlowAbsence, TargetAnswer},
+        decision::Decision,
+        notices::Notice,
+        peering::{MAX_LOAD_INTERVAL_MS, Peering},
+    },
     membership::instance::{Instance, InstanceRole, TargetLoad, TargetState},
 };
 
--- a/src/forward/agent_driver.rs
+++ b/src/forward/agent/driver.rs
@@ -6,18 +6,20 @@
 use tokio::time::{self, MissedTickBehavior};
 
 use super::{
-    agent::{AgentCore, AgentVerdict},
-    decision::DecisionLog,
-    driver_io::{Command, DriverIo},
-    registrar::ClusterUpdate,
-    settings::{ForwardSettings, TargetSettings},
-    socket::{MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
+    core::{AgentCore, AgentVerdict},
     target::Target,
 };
 use crate::{
     clock::Clock,
     control::store::LeasedStore,
     flow::packet::PacketFormat,
+    forward::{
+        decision::DecisionLog,
+        driver_io::{Command, DriverIo},
+        registrar::ClusterUpdate,
+        settings::{ForwardSettings, TargetSettings},
+        socket::{MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
+    },
     membership::instance::Instance,
     observe::{
         counters::Event,
--- a/src/forward/agent_lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -7,13 +7,16 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
-    absence::{self, FlowAbsence, TargetAnswer},
-    agent::{AgentCore, AgentVerdict},
-    agent_syn::MAX_GRANT_HOPS,
-    decision::{Decision, Reason, SearchGap},
+    core::{AgentCore, AgentVerdict},
+    probe::ProbePacket,
+    syn::MAX_GRANT_HOPS,
 };
 use crate::{
     flow::packet::{FlowKey, HopMetadata, Lookup, PacketFormat, Segment},
+    forward::{
+        absence::{self, FlowAbsence, TargetAnswer},
+        decision::{Decision, Reason, SearchGap},
+    },
     membership::{instance::TargetState, rendezvous::flow_hash},
 };
 
@@ -27,17 +30,6 @@
 /// Interval between two registrations of all open flows with their registry agents.
 const REREGISTER_INTERVAL_MS: u64 = 10_000;
 
-/// A copy of a packet of an unknown flow that was sent to the target. The search continues with the
-/// copy if the target resets the flow instead of returning the packet or, while the state of the
-/// target is unknown, does not return it in time.
-#[derive(Clone, Debug)]
-pub struct ProbePacket {
-    pub(super) flow: FlowKey,
-    datagram: Vec<u8>,
-    /// Time at which the packet was sent to the target.
-    at_ms: u64,
-}
-
 impl<F: PacketFormat> AgentCore<F> {
     /// Handles a packet of a flow that the target is not known to hold.
     ///
--- /dev/null
+++ b/src/forward/agent/mod.rs
@@ -0,0 +1,15 @@
+//! The agent: forwards packets between balancers, other agents and its local target.
+//!
+//! [`core`] holds its state and handles packets, with [`syn`] for the opening of flows and
+//! [`lookup`] for flows that the target is not known to hold. They do no I/O. [`driver`] runs them on
+//! sockets.
+
+pub mod core;
+pub mod driver;
+pub mod flows;
+pub mod lookup;
+pub mod probe;
+pub mod slot_requests;
+pub mod syn;
+pub mod syn_queue;
+pub mod target;
--- a/src/forward/slot_requests.rs
+++ b/src/forward/agent/slot_requests.rs
@@ -43,7 +43,7 @@
     /// Creates a state without requests or grants.
     ///
     /// ```
-    /// use bamboowind::forward::slot_requests::SlotRequests;
+    /// use bamboowind::forward::agent::slot_requests::SlotRequests;
     ///
     /// let sibling = "10.1.0.12:7720".parse().unwrap();
     /// let mut slots = SlotRequests::new();
--- a/src/forward/agent_syn.rs
+++ b/src/forward/agent/syn.rs
@@ -4,13 +4,15 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{
-    agent::{AgentCore, AgentVerdict},
-    decision::{Decision, Reason},
-    notices::Notice,
+    core::{AgentCore, AgentVerdict},
     syn_queue::{HANDSHAKE_MS, QueuedSyn, ServiceRate},
 };
 use crate::{
     flow::packet::{FlowKey, HopMetadata, PacketFormat, Segment},
+    forward::{
+        decision::{Decision, Reason},
+        notices::Notice,
+    },
     membership::{
         directory::Member,
         instance::TargetState,
--- a/src/forward/syn_queue.rs
+++ b/src/forward/agent/syn_queue.rs
@@ -65,7 +65,7 @@
     /// Creates an empty queue.
     ///
     /// ```
-    /// use bamboowind::forward::syn_queue::{ServiceRate, SynQueue};
+    /// use bamboowind::forward::agent::syn_queue::{ServiceRate, SynQueue};
     ///
     /// let mut queue = SynQueue::new();
     /// assert_eq!(queue.pop(0, ServiceRate { capacity: 2, service_time_ms: 10 }), None);
--- a/src/forward/target.rs
+++ b/src/forward/agent/target.rs
@@ -94,7 +94,7 @@
     /// Creates the state of a target that has not been heard from yet.
     ///
     /// ```
-    /// use bamboowind::{forward::target::Target, membership::instance::TargetState};
+    /// use bamboowind::{forward::agent::target::Target, membership::instance::TargetState};
     ///
     /// assert_eq!(Target::new(1_000).state(0), TargetState::Unknown);
     /// ```
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer/core.rs
@@ -5,17 +5,17 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use super::{
-    decision::{Decision, Reason},
-    notices::Notice,
-    peering::Peering,
-};
 use crate::{
     flow::{
         packet::{FlowKey, HopMetadata, Lookup, PacketFormat, Segment},
         routes::RouteTable,
         table::FlowTable,
     },
+    forward::{
+        decision::{Decision, Reason},
+        notices::Notice,
+        peering::Peering,
+    },
     membership::{
         directory::{Member, SUSPECT_AFTER_MS},
         instance::{Instance, TargetState},
--- a/src/forward/balancer_driver.rs
+++ b/src/forward/balancer/driver.rs
@@ -6,17 +6,22 @@
 use tokio::time::{self, MissedTickBehavior};
 
 use super::{
-    balancer::{BalancerCore, Verdict},
-    decision::DecisionLog,
-    driver_io::{Command, DriverIo},
-    registrar::ClusterUpdate,
+    core::{BalancerCore, Verdict},
     rotation::Rotation,
-    settings::ForwardSettings,
-    socket::{MAX_BATCH, MAX_DATAGRAM_LEN},
 };
 use crate::{
-    clock::Clock, control::store::LeasedStore, flow::packet::PacketFormat,
-    membership::instance::Instance, observe::counters::Event,
+    clock::Clock,
+    control::store::LeasedStore,
+    flow::packet::PacketFormat,
+    forward::{
+        decision::DecisionLog,
+        driver_io::{Command, DriverIo},
+        registrar::ClusterUpdate,
+        settings::ForwardSettings,
+        socket::{MAX_BATCH, MAX_DATAGRAM_LEN},
+    },
+    membership::instance::Instance,
+    observe::counters::Event,
 };
 
 /// Interval between two runs of the periodic work.
--- a/src/forward/rotation.rs
+++ b/src/forward/balancer/rotation.rs
@@ -38,7 +38,7 @@
     /// Creates the state of a balancer that has just started and is not ready yet.
     ///
     /// ```
-    /// use bamboowind::forward::rotation::Rotation;
+    /// use bamboowind::forward::balancer::rotation::Rotation;
     ///
     /// let mut rotation = Rotation::new();
     /// rotation.stop(1_000);
--- a/src/forward/driver_io.rs
+++ b/src/forward/driver_io.rs
@@ -18,12 +18,12 @@
 };
 
 use super::{
+    agent::target::Heartbeat,
     notices::{Notice, Outbox},
     registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch},
     route_fetch,
     settings::ForwardSettings,
     socket::{BindError, MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
-    target::Heartbeat,
 };
 use crate::{
     control::store::LeasedStore,
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -3,7 +3,7 @@
 mod simulation;
 
 use bamboowind::{
-    forward::syn_queue::{QueuedSyn, ServiceRate, SynQueue},
+    forward::agent::syn_queue::{QueuedSyn, ServiceRate, SynQueue},
     membership::instance::TargetState,
     placement::{Candidate, cost_us},
 };
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -234,7 +234,7 @@
 
 #[test]
 fn a_starting_balancer_leaves_packets_in_the_socket_buffer() {
-    use bamboowind::forward::balancer::BalancerCore;
+    use bamboowind::forward::balancer::core::BalancerCore;
     let own = Simulation::new(1, 1, 1, 1).balancers[0]
         .peering
         .local_instance()
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -4,7 +4,7 @@
 
 use bamboowind::{
     flow::packet::{HopMetadata, Lookup, PacketFormat},
-    forward::{agent::AgentVerdict, balancer::Verdict},
+    forward::{agent::core::AgentVerdict, balancer::core::Verdict},
     membership::{instance::TargetState, rendezvous::tag},
 };
 use proptest::{prelude::*, test_runner::RngSeed};
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -2,7 +2,7 @@
 
 mod simulation;
 
-use bamboowind::forward::rotation::Rotation;
+use bamboowind::forward::balancer::rotation::Rotation;
 use simulation::Simulation;
 
 #[test]
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -14,10 +14,12 @@
         routes::{Backend, Class, Route, RouteTable},
     },
     forward::{
-        agent::{AgentCore, AgentVerdict},
-        balancer::{BalancerCore, Verdict},
+        agent::{
+            core::{AgentCore, AgentVerdict},
+            target::{Heartbeat, Target},
+        },
+        balancer::core::{BalancerCore, Verdict},
         notices::Notice,
-        target::{Heartbeat, Target},
     },
     membership::{
         instance::{Instance, InstanceRole},
