--- a/tests/reset_model.rs
+++ b/tests/reset_model.rs
@@ -3,9 +3,9 @@
 
 mod simulation;
 
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use simulation::schedule::{Event, Run};
+use simulation::schedule::{Event, Run, fixed_cases};
 
 const BALANCERS: usize = 3;
 const AGENTS: usize = 6;
@@ -94,16 +94,6 @@
     }
 }
 
-/// Configuration with the same cases in each run, unless the environment sets another seed.
-fn fixed_cases() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let rng_seed = match config.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(1),
-        fixed @ RngSeed::Fixed(_) => fixed,
-    };
-    ProptestConfig { rng_seed, ..config }
-}
-
 prop_state_machine! {
     #![proptest_config(fixed_cases())]
 
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -7,11 +7,11 @@
     forward::{agent::core::AgentVerdict, balancer::core::Verdict},
     membership::{instance::TargetState, rendezvous::tag},
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 use simulation::{
     RESET_WINDOW, SERVICE, Simulation, caller, flow,
     packet::{HEADER_LEN, PlatformPacket},
-    schedule::{Event, Targets, check_schedule, events},
+    schedule::{Event, Targets, check_schedule, events, fixed_cases},
     syn,
 };
 
@@ -698,16 +698,6 @@
 const DRAIN: fn(usize, usize) -> Event = |index, _| Event::Drain(index);
 const FREEZE: fn(usize, usize) -> Event = |index, _| Event::Freeze(index);
 
-/// Configuration with the same cases in each run, unless the environment sets another seed.
-fn fixed_cases() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let rng_seed = match config.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(1),
-        fixed @ RngSeed::Fixed(_) => fixed,
-    };
-    ProptestConfig { rng_seed, ..config }
-}
-
 proptest! {
     #![proptest_config(fixed_cases())]
 
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use bamboowind::flow::routes::{Backend, Class, Route, RouteTable};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 use super::{
     ACK, OTHER_SERVICE, RST, SERVICE, SYN, Simulation, caller, flow, service_address, syn,
@@ -298,3 +298,13 @@
     let end = run.apply(Event::Advance(1_000));
     end.map_err(TestCaseError::fail)
 }
+
+/// Configuration with the same cases in each run, unless the environment sets another seed.
+pub fn fixed_cases() -> ProptestConfig {
+    let config = ProptestConfig::default();
+    let rng_seed = match config.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(1),
+        fixed @ RngSeed::Fixed(_) => fixed,
+    };
+    ProptestConfig { rng_seed, ..config }
+}
