--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -161,6 +161,7 @@
 
 /// Presence message by which an instance announces that it is alive.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[allow(clippy::struct_excessive_bools)] // These are independent conditions.
 pub struct Presence {
     /// The sender.
     pub instance: Instance,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -277,8 +277,8 @@
     cluster.wait_for_targets(1).await;
     let caller = cluster.connect_caller(0).await;
     for round in 0..20 {
-        let first = caller.call(&Call::get(&format!("/twice/{round}"))).await;
-        let own = caller.call(&Call::get(&format!("/own/{round}"))).await;
+        let first = caller.call(&Call::get(format!("/twice/{round}"))).await;
+        let own = caller.call(&Call::get(format!("/own/{round}"))).await;
         for (path, response) in [("twice", first), ("own", own)] {
             let response = response.expect("failed to get a response");
             let body = String::from_utf8_lossy(&response.body).into_owned();
