--- a/tests/reset_model.rs
+++ b/tests/reset_model.rs
@@ -57,9 +57,8 @@
     fn preconditions(state: &Self, event: &Event) -> bool {
         match event {
             // A stopped process neither freezes nor restarts, and a frozen one does not stop.
-            Event::RestartAgent(index) => state.is_up[*index],
+            Event::RestartAgent(index) | Event::Freeze(index) => state.is_up[*index],
             Event::LeaveOrReturn(index) => !state.is_frozen[*index],
-            Event::Freeze(index) => state.is_up[*index],
             _ => true,
         }
     }
