--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -206,33 +206,26 @@
         {
             return self.reset_flow(flow, segment.acknowledged, hop, absence);
         }
-        let directory = &self.peering.directory;
         if hop.lookup == Lookup::Known
-            && let Some((registry_agent, address)) = self.other_registry_agent(hash, now_ms)
+            && let Some((agent, address)) = self.other_registry_agent(hash, now_ms)
         {
             let hop = HopMetadata {
                 tried: hop.tried.saturating_add(1),
                 lookup: Lookup::Registry,
                 ..hop
             };
-            self.format.write_hop_metadata(datagram, hop);
-            self.peering.decisions.push(Decision::LookedUp {
-                flow,
-                agent: registry_agent,
-                tried: hop.tried,
-            });
-            return AgentVerdict::Instance(address);
+            return self.send_lookup(datagram, flow, hop, agent, address);
         }
+        let directory = &self.peering.directory;
         // A search starts at the top of the order, not below an agent that a balancer took for the
         // flow's registry agent: balancers may know only some of the agents.
         let local_weight = directory.local_weight(hash);
-        let (below_weight, tried) = if hop.lookup == Lookup::Search {
+        let (below_weight, mut tried) = if hop.lookup == Lookup::Search {
             (local_weight, hop.tried.saturating_add(1))
         } else {
             (u64::MAX, 0)
         };
         let mut view = directory.search_view(hash, below_weight, now_ms);
-        let mut tried = tried;
         if view.next.is_some_and(|member| directory.is_local(member)) {
             view = directory.search_view(hash, local_weight, now_ms);
             tried = tried.saturating_add(1);
@@ -265,11 +258,7 @@
                 view_digest,
                 ..HopMetadata::default()
             };
-            self.format.write_hop_metadata(datagram, hop);
-            self.peering
-                .decisions
-                .push(Decision::LookedUp { flow, agent, tried });
-            return AgentVerdict::Instance(address);
+            return self.send_lookup(datagram, flow, hop, agent, address);
         }
         let expects_response = segment.data_len > 0 && !segment.flags.rst;
         let absence = absence.filter(|_| expects_response);
@@ -292,6 +281,23 @@
         AgentVerdict::Drop
     }
 
+    /// Sends a packet of an unknown flow to an agent that may hold the flow or know its owner.
+    fn send_lookup(
+        &mut self,
+        datagram: &mut [u8],
+        flow: FlowKey,
+        hop: HopMetadata,
+        agent: Arc<str>,
+        address: SocketAddrV4,
+    ) -> AgentVerdict<F::Reset> {
+        self.format.write_hop_metadata(datagram, hop);
+        let tried = hop.tried;
+        self.peering
+            .decisions
+            .push(Decision::LookedUp { flow, agent, tried });
+        AgentVerdict::Instance(address)
+    }
+
     /// Resets an open flow that is proved to be lost. `sequence` is the acknowledgement number of
     /// the caller's most recent packet.
     pub(super) fn reset_flow(
