Await an agent that never heard of its target for three seconds, also while it is listed

Change: it removes its entry, and is awaited for 3 s, as before.

Test: an_agent_that_left_without_having_heard_of_a_target_withholds_resets_for_three_seconds failed before.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -211,7 +211,8 @@
     /// return.
     #[must_use]
     pub fn stays_registered(&self, now_ms: u64) -> bool {
-        !self.target.has_exited() && self.target.state(now_ms) != TargetState::Absent
+        let is_heard = self.target.last_heartbeat().is_some();
+        !self.target.has_exited() && (is_heard || self.load(now_ms).flows > 0)
     }
 
     /// Handles a packet from a balancer or another agent.
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -142,15 +142,15 @@
         if self.instance.role != InstanceRole::Agent || self.is_searched(now_ms) {
             return false;
         }
-        // An agent whose target was never heard from is treated like an unconfirmed one.
-        let is_unknown = self.load.state == TargetState::Unknown && self.load.flows == 0;
-        let timeout_ms = if self.is_confirmed && !is_unknown {
-            RECOVERY_TIMEOUT_MS
-        } else {
-            DISCOVERY_TIMEOUT_MS
-        };
-        !(self.is_confirmed && self.holds_no_flows())
-            && (self.is_listed || self.silent_ms(now_ms) <= timeout_ms)
+        let silent_ms = self.silent_ms(now_ms);
+        if !self.is_confirmed {
+            return self.is_listed || silent_ms <= DISCOVERY_TIMEOUT_MS;
+        }
+        // An agent that never heard from a target is most likely beside none.
+        if self.load.state == TargetState::Unknown && self.load.flows == 0 {
+            return silent_ms <= DISCOVERY_TIMEOUT_MS;
+        }
+        !self.holds_no_flows() && (self.is_listed || silent_ms <= RECOVERY_TIMEOUT_MS)
     }
 
     /// Time since the last load report, in milliseconds.
--- a/tests/reset_gaps.rs
+++ b/tests/reset_gaps.rs
@@ -249,3 +249,23 @@
     sim.advance(100);
     assert!(sim.was_reset(number), "the target has lost the flow");
 }
+
+// An agent that stops before it could have heard of a target is beside none, as after a loss of power.
+#[test]
+fn an_agent_that_left_without_having_heard_of_a_target_withholds_resets_for_three_seconds() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    let gone = order[5];
+    for index in 0..usize::from(AGENTS) {
+        sim.restart_target(index);
+        sim.restart_agent(index);
+    }
+    sim.agents[gone].target.is_silent = true;
+    sim.advance(900);
+    sim.leave_agent(gone);
+    sim.advance(3_200);
+    sim.restart_balancer(1);
+    sim.advance(100);
+    sim.send_from_caller(1, sim.request(number));
+    assert!(sim.was_reset(number), "no target holds the flow");
+}
