Log the store's era, so that a restore can be told from an outage

Cause: the era was decoded nowhere; a log showed 'store unreachable', 'store reachable again' and nothing of what was read then.

Change: each response of the store carries its era (StoreReply). New lines: 'store restored from an older copy' with both eras and the counter store_restored, 'routes read from the store' with revision and era, 'routes ignored' with both versions, 'registered in the store', 'instances read from the store', 'instance list applied' with the number of live instances that the list lacks. No decision depends on the era yet. The stand-in of the registrar's tests can be restored from a copy.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,4 +13,5 @@
 pub mod shared_policy;
 pub mod store;
 pub mod store_contact;
+pub mod store_era;
 pub mod watcher;
--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -13,6 +13,30 @@
     pub const ABSENT: Self = Self(0);
 }
 
+/// Counter that the store increments each time it comes back from an older copy of its contents.
+///
+/// Revisions, leases and lists of entries are comparable only within one era. The era is 0 if the
+/// store reports none.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StoreEra(pub u64);
+
+/// Response of the store, together with the era in which it was given.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreReply<T> {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Content of the response.
+    pub value: T,
+}
+
+impl<T> StoreReply<T> {
+    /// Creates a response given in `era`.
+    #[must_use]
+    pub fn new(era: StoreEra, value: T) -> Self {
+        Self { era, value }
+    }
+}
+
 /// Value of a key together with its revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionedValue {
@@ -175,7 +199,10 @@
     /// # Errors
     ///
     /// Returns [`StoreError`] if the store does not respond.
-    fn read(&self, key: &str) -> impl Future<Output = Result<ReadResponse, StoreError>> + Send;
+    fn read(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<StoreReply<ReadResponse>, StoreError>> + Send;
 
     /// Reads all entries whose key starts with `prefix`. With `allow_stale`, they may be a few
     /// seconds old.
@@ -187,7 +214,7 @@
         &self,
         prefix: &str,
         allow_stale: bool,
-    ) -> impl Future<Output = Result<Vec<Entry>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreReply<Vec<Entry>>, StoreError>> + Send;
 
     /// Waits until a key with `prefix` changes after revision `after`, or until `wait_ms`
     /// milliseconds have passed.
@@ -200,7 +227,7 @@
         prefix: &str,
         after: Revision,
         wait_ms: u64,
-    ) -> impl Future<Output = Result<PrefixChanges, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreReply<PrefixChanges>, StoreError>> + Send;
 
     /// Creates a lease that expires after `ttl_ms` milliseconds unless renewed.
     ///
@@ -210,7 +237,7 @@
     fn create_lease(
         &self,
         ttl_ms: u64,
-    ) -> impl Future<Output = Result<Self::Lease, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreReply<Self::Lease>, StoreError>> + Send;
 
     /// Renews a lease. Returns `false` if it has ended.
     ///
@@ -220,7 +247,7 @@
     fn keep_lease_alive(
         &self,
         lease: Self::Lease,
-    ) -> impl Future<Output = Result<bool, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreReply<bool>, StoreError>> + Send;
 
     /// Ends a lease and deletes its entries.
     ///
@@ -242,5 +269,5 @@
         key: &str,
         value: &[u8],
         lease: Self::Lease,
-    ) -> impl Future<Output = Result<LeasedWriteOutcome, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreReply<LeasedWriteOutcome>, StoreError>> + Send;
 }
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -249,14 +249,18 @@
                 self.core.set_members_known();
                 let version = self.core.route_version();
                 let load = self.core.load(now_ms);
-                self.core
-                    .peering
-                    .handle_listing(instances, version, Some(&load), now_ms);
+                let (peering, listed) = (&mut self.core.peering, instances.len());
+                let unlisted = peering.handle_listing(instances, version, Some(&load), now_ms);
+                info!(self.log, "instance list applied"; "listed" => listed,
+                    "live_unlisted" => unlisted);
             }
             ClusterUpdate::Routes(routes) => {
                 if self.io.publish_routes(&routes) {
                     self.core
                         .set_routes(routes.version(), routes.idle_timeout_ms());
+                } else {
+                    info!(self.log, "routes ignored"; "version" => routes.version(),
+                        "in_force" => self.core.route_version());
                 }
             }
         }
--- a/src/forward/balancer/driver.rs
+++ b/src/forward/balancer/driver.rs
@@ -137,14 +137,19 @@
         match update {
             ClusterUpdate::StoreReached => self.core.peering.record_store_contact(now_ms),
             ClusterUpdate::Instances(instances) => {
-                let peering = &mut self.core.peering;
-                peering.handle_listing(instances, version, None, now_ms);
+                let (peering, listed) = (&mut self.core.peering, instances.len());
+                let unlisted = peering.handle_listing(instances, version, None, now_ms);
+                info!(self.log, "instance list applied"; "listed" => listed,
+                    "live_unlisted" => unlisted);
             }
             ClusterUpdate::Routes(routes) => {
                 if self.io.publish_routes(&routes) {
                     self.core.set_routes(Arc::clone(&routes));
                     let version = routes.version();
                     self.core.peering.broadcast_presence(version, None, now_ms);
+                } else {
+                    info!(self.log, "routes ignored"; "version" => routes.version(),
+                        "in_force" => version);
                 }
             }
         }
--- a/src/forward/driver_io.rs
+++ b/src/forward/driver_io.rs
@@ -26,7 +26,7 @@
     socket::{BindError, MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
 };
 use crate::{
-    control::store::LeasedStore,
+    control::{store::LeasedStore, store_era::SharedStoreEra},
     flow::routes::RouteTable,
     membership::instance::Instance,
     observe::counters::{Counters, Event},
@@ -153,6 +153,7 @@
             store,
             document,
             local_instance: local_instance.clone(),
+            era: SharedStoreEra::new(),
             update_tx: update_tx.clone(),
             counters: counters.clone(),
             log: log.clone(),
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -300,19 +300,23 @@
         }
     }
 
-    /// Handles the full list of instances in the store.
+    /// Handles the full list of instances in the store. Returns the number of live instances that
+    /// it lacks.
     pub fn handle_listing(
         &mut self,
         instances: Vec<Instance>,
         route_version: u64,
         load: Option<&TargetLoad>,
         now_ms: u64,
-    ) {
+    ) -> usize {
         let names = instances.iter().map(|i| Arc::clone(&i.name)).collect();
         for instance in instances {
             self.add_instance(instance, route_version, load.cloned(), now_ms);
         }
         self.directory.set_listed(names);
+        let members = self.directory.members().iter();
+        let live = members.filter(|m| m.is_confirmed && m.is_alive(now_ms) && !m.is_listed);
+        live.filter(|m| !self.directory.is_local(m)).count()
     }
 
     /// Adds an instance that was read from the store or named by another instance, and sends it
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     control::backoff::Backoff,
-    control::store::{Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, StoreError},
+    control::store::{
+        Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, StoreEra, StoreError, StoreReply,
+    },
+    control::store_era::SharedStoreEra,
     flow::routes::RouteTable,
     membership::instance::Instance,
     observe::counters::{Counters, Event},
@@ -76,6 +79,8 @@
     pub document: D,
     /// This instance, which is registered.
     pub local_instance: Instance,
+    /// The newest era of the store that this process knows of.
+    pub era: SharedStoreEra,
     /// Channel for the updates read from the store.
     pub update_tx: mpsc::Sender<ClusterUpdate>,
     /// Counts calls and failures.
@@ -116,16 +121,18 @@
     ) -> Result<(), StoreError> {
         let lease = self
             .call_store(self.store.create_lease(LEASE_TTL_MS))
-            .await?;
+            .await?
+            .value;
         let key = format!("{INSTANCES_PREFIX}{}", self.local_instance.name);
         let value = self.local_instance.to_message().encode_to_vec();
         let written = self
             .call_store(self.store.write_with_lease(&key, &value, lease))
             .await?;
-        if written == LeasedWriteOutcome::LeaseEnded {
+        if written.value == LeasedWriteOutcome::LeaseEnded {
             return Ok(());
         }
         lease_tx.send_replace(Some(lease));
+        info!(self.log, "registered in the store"; "lease" => ?lease, "era" => written.era.0);
         connectivity.mark_reached(&self.log);
         backoff.reset();
         self.read_instances(false).await?;
@@ -133,7 +140,7 @@
             time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)).await;
             let is_kept = loop {
                 match self.call_store(self.store.keep_lease_alive(lease)).await {
-                    Ok(is_kept) => break is_kept,
+                    Ok(reply) => break reply.value,
                     Err(error) => {
                         connectivity.mark_unreachable(&self.log, &error);
                         backoff.wait().await;
@@ -143,7 +150,8 @@
             connectivity.mark_reached(&self.log);
             backoff.reset();
             if !is_kept {
-                info!(self.log, "lease expired; registering again"; "lease" => ?lease);
+                info!(self.log, "lease expired; registering again"; "lease" => ?lease,
+                    "era" => self.era.current().0);
                 return Ok(());
             }
             self.read_instances(true).await?;
@@ -153,7 +161,12 @@
     /// Reads all registered instances and sends them as an update. Malformed entries are skipped.
     async fn read_instances(&self, may_be_stale: bool) -> Result<(), StoreError> {
         let reading = self.store.read_range(INSTANCES_PREFIX, may_be_stale);
-        let entries = self.call_store(reading).await?;
+        let StoreReply {
+            era,
+            value: entries,
+        } = self.call_store(reading).await?;
+        info!(self.log, "instances read from the store"; "era" => era.0, "listed" => entries.len(),
+            "may_be_stale" => may_be_stale);
         let instances = entries.iter().filter_map(|entry| {
             let message = wire::Instance::decode(&*entry.value).ok();
             let instance = message.as_ref().and_then(Instance::from_message);
@@ -197,13 +210,16 @@
         connectivity: &mut StoreConnectivity,
         backoff: &mut Backoff,
     ) -> Result<(), StoreError> {
-        let reading = self
+        let StoreReply {
+            era,
+            value: reading,
+        } = self
             .call_store(self.store.read(self.document.key()))
             .await?;
         connectivity.mark_reached(&self.log);
         let mut revision = reading.store_revision;
         if let Some(entry) = reading.entry {
-            self.handle_route_entry(&entry).await;
+            self.handle_route_entry(&entry, era).await;
         }
         loop {
             if let RouteWatch::WhenNeeded(needed) = watch_mode
@@ -214,10 +230,11 @@
             let watching = self
                 .store
                 .watch_prefix(self.document.key(), revision, WATCH_WAIT_MS);
-            match self.call_store(watching).await? {
+            let reply = self.call_store(watching).await?;
+            match reply.value {
                 PrefixChanges::Compacted => {
                     info!(self.log, "watched revision is compacted; rereading the routes";
-                        "revision" => revision.0);
+                        "revision" => revision.0, "era" => reply.era.0);
                     backoff.wait().await;
                     return Ok(());
                 }
@@ -227,7 +244,7 @@
                 } => {
                     revision = watched_revision;
                     if let Some(entry) = entries.last() {
-                        self.handle_route_entry(entry).await;
+                        self.handle_route_entry(entry, reply.era).await;
                     }
                 }
             }
@@ -237,9 +254,13 @@
 
     /// Decodes the route document and sends the routes as an update. A malformed document is
     /// ignored.
-    async fn handle_route_entry(&self, entry: &Entry) {
+    async fn handle_route_entry(&self, entry: &Entry, era: StoreEra) {
         match self.document.decode(&entry.value) {
-            Ok(routes) => self.send(ClusterUpdate::Routes(Arc::new(routes))).await,
+            Ok(routes) => {
+                info!(self.log, "routes read from the store"; "version" => routes.version(),
+                    "revision" => entry.revision.0, "era" => era.0);
+                self.send(ClusterUpdate::Routes(Arc::new(routes))).await;
+            }
             Err(reason) => {
                 self.counters.count(Event::IgnoredReport);
                 warn!(self.log, "malformed route document ignored"; "key" => &*entry.key,
@@ -248,6 +269,15 @@
         }
     }
 
+    /// Logs and counts that the store has been restored from an older copy.
+    fn note_era(&self, era: StoreEra) {
+        if let Some(previous) = self.era.advance(era) {
+            self.counters.count(Event::StoreRestored);
+            warn!(self.log, "store restored from an older copy"; "era" => era.0,
+                "previous_era" => previous.0);
+        }
+    }
+
     async fn send(&self, update: ClusterUpdate) {
         // The receiver is closed only while the process exits.
         let _ = self.update_tx.send(update).await;
@@ -256,12 +286,15 @@
     /// Runs a call of the store and counts it. A successful call is also sent as an update.
     async fn call_store<T>(
         &self,
-        call: impl Future<Output = Result<T, StoreError>>,
-    ) -> Result<T, StoreError> {
+        call: impl Future<Output = Result<StoreReply<T>, StoreError>>,
+    ) -> Result<StoreReply<T>, StoreError> {
         self.counters.count(Event::StoreCalled);
         let result = call.await;
         match &result {
-            Ok(_) => self.send(ClusterUpdate::StoreReached).await,
+            Ok(reply) => {
+                self.note_era(reply.era);
+                self.send(ClusterUpdate::StoreReached).await;
+            }
             Err(_) => self.counters.count(Event::StoreCallFailed),
         }
         result
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -70,6 +70,8 @@
     DroppedNotice => "dropped_notice",
     /// A target's heartbeat or a store entry was ignored because it is invalid.
     IgnoredReport => "ignored_report",
+    /// The store came back from an older copy of its contents.
+    StoreRestored => "store_restored",
     /// A call to the store failed.
     StoreCallFailed => "store_call_failed",
     /// A packet of a lost flow was answered with a reset.
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -8,8 +8,10 @@
 
 use bamboowind::{
     control::store::{
-        Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, ReadResponse, Revision, StoreError,
+        Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, ReadResponse, Revision, StoreEra,
+        StoreError, StoreReply,
     },
+    control::store_era::SharedStoreEra,
     flow::routes::RouteTable,
     forward::registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch},
     membership::instance::{Instance, InstanceRole},
@@ -17,8 +19,19 @@
 };
 use tokio::{sync::mpsc, time};
 
+/// Contents of the store that a copy holds.
+#[derive(Clone, Debug, Default)]
+struct StoreCopy {
+    revision: u64,
+    routes: Option<Entry>,
+    instances: Vec<(u64, Entry)>,
+    leases: Vec<u64>,
+}
+
 #[derive(Debug, Default)]
 struct FakeStoreState {
+    /// Number of restores.
+    era: u64,
     /// Whether every call fails.
     is_down: bool,
     /// Current revision of the store.
@@ -45,14 +58,15 @@
         &self,
         name: &'static str,
         operation: impl FnOnce(&mut FakeStoreState) -> T,
-    ) -> Result<T, StoreError> {
+    ) -> Result<StoreReply<T>, StoreError> {
         let mut state = self.state.lock().unwrap();
         state.calls.push(name);
         if state.is_down {
             let reason = "down".to_owned();
             return Err(StoreError::Unavailable { reason });
         }
-        Ok(operation(&mut state))
+        let era = StoreEra(state.era);
+        Ok(StoreReply::new(era, operation(&mut state)))
     }
 
     fn set_routes(&self, version: u64) {
@@ -65,6 +79,28 @@
         });
     }
 
+    fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().unwrap();
+        StoreCopy {
+            revision: state.revision,
+            routes: state.routes.clone(),
+            instances: state.instances.clone(),
+            leases: state.leases.clone(),
+        }
+    }
+
+    /// Replaces the contents by those of an older copy. No call fails: a watch that waits goes on
+    /// waiting.
+    fn restore(&self, copy: StoreCopy) {
+        self.update(|state| {
+            state.era += 1;
+            state.revision = copy.revision;
+            state.routes = copy.routes;
+            state.instances = copy.instances;
+            state.leases = copy.leases;
+        });
+    }
+
     fn call_count(&self, name: &str) -> usize {
         let state = self.state.lock().unwrap();
         state.calls.iter().filter(|call| **call == name).count()
@@ -78,14 +114,14 @@
 impl LeasedStore for FakeStore {
     type Lease = u64;
 
-    async fn read(&self, _key: &str) -> Result<ReadResponse, StoreError> {
+    async fn read(&self, _key: &str) -> Result<StoreReply<ReadResponse>, StoreError> {
         self.call("read", |state| ReadResponse {
             entry: state.routes.clone(),
             store_revision: Revision(state.revision),
         })
     }
 
-    async fn read_range(&self, _: &str, _: bool) -> Result<Vec<Entry>, StoreError> {
+    async fn read_range(&self, _: &str, _: bool) -> Result<StoreReply<Vec<Entry>>, StoreError> {
         self.call("range", |state| {
             state
                 .instances
@@ -100,33 +136,40 @@
         _prefix: &str,
         after: Revision,
         wait_ms: u64,
-    ) -> Result<PrefixChanges, StoreError> {
+    ) -> Result<StoreReply<PrefixChanges>, StoreError> {
         let polls = wait_ms / 50;
         self.call("watch", |_| ())?;
+        let reply = |state: &FakeStoreState, changes| {
+            let era = StoreEra(state.era);
+            Ok(StoreReply::new(era, changes))
+        };
         for _ in 0..polls {
             {
                 let state = self.state.lock().unwrap();
                 if after.0 < state.oldest_revision {
-                    return Ok(PrefixChanges::Compacted);
+                    return reply(&state, PrefixChanges::Compacted);
                 }
                 if let Some(entry) = state.routes.clone()
                     && entry.revision > after
                 {
-                    return Ok(PrefixChanges::Written {
+                    let changes = PrefixChanges::Written {
                         revision: entry.revision,
                         entries: vec![entry],
-                    });
+                    };
+                    return reply(&state, changes);
                 }
             }
             time::sleep(Duration::from_millis(50)).await;
         }
-        Ok(PrefixChanges::Written {
+        let state = self.state.lock().unwrap();
+        let changes = PrefixChanges::Written {
             entries: Vec::new(),
-            revision: after,
-        })
+            revision: Revision(state.revision),
+        };
+        reply(&state, changes)
     }
 
-    async fn create_lease(&self, _ttl_ms: u64) -> Result<u64, StoreError> {
+    async fn create_lease(&self, _ttl_ms: u64) -> Result<StoreReply<u64>, StoreError> {
         self.call("lease", |state| {
             let lease = state.calls.len() as u64;
             state.leases.push(lease);
@@ -134,12 +177,13 @@
         })
     }
 
-    async fn keep_lease_alive(&self, lease: u64) -> Result<bool, StoreError> {
+    async fn keep_lease_alive(&self, lease: u64) -> Result<StoreReply<bool>, StoreError> {
         self.call("keep", |state| state.leases.contains(&lease))
     }
 
     async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError> {
-        self.call("end", |state| state.leases.retain(|held| *held != lease))
+        self.call("end", |state| state.leases.retain(|held| *held != lease))?;
+        Ok(())
     }
 
     async fn write_with_lease(
@@ -147,7 +191,7 @@
         key: &str,
         value: &[u8],
         lease: u64,
-    ) -> Result<LeasedWriteOutcome, StoreError> {
+    ) -> Result<StoreReply<LeasedWriteOutcome>, StoreError> {
         let entry = Entry {
             key: key.into(),
             value: value.to_vec(),
@@ -198,6 +242,7 @@
         store: store.clone(),
         document: VersionDocument,
         local_instance: own,
+        era: SharedStoreEra::new(),
         update_tx: learned,
         counters: Counters::new(),
         log: discard_logger(),
