--- a/src/control/memory_store.rs
+++ b/src/control/memory_store.rs
@@ -22,13 +22,13 @@
     pub lost_write_replies: u32,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
     key: String,
     versioned: VersionedValue,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ActiveLease {
     key: String,
     id: u64,
@@ -48,6 +48,14 @@
     call_count: u64,
 }
 
+/// Contents of a [`MemoryStore`] at one time.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    entries: Vec<Entry>,
+    leases: Vec<ActiveLease>,
+    last_revision: u64,
+}
+
 /// A lease in a [`MemoryStore`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemoryLease {
@@ -93,6 +101,29 @@
         self.lock().faults = faults;
     }
 
+    /// Copies the contents.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            entries: state.entries.clone(),
+            leases: state.leases.clone(),
+            last_revision: state.last_revision,
+        }
+    }
+
+    /// Replaces the contents by those of an older copy. What was written since is lost, and its
+    /// revisions are assigned again.
+    pub fn restore(&self, copy: StoreCopy) {
+        {
+            let mut state = self.lock();
+            state.entries = copy.entries;
+            state.leases = copy.leases;
+            state.last_revision = copy.last_revision;
+        }
+        self.write_counter.send_modify(|count| *count += 1);
+    }
+
     /// Number of calls received so far; a watch counts once however long it waits.
     #[must_use]
     pub fn call_count(&self) -> u64 {
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -42,6 +42,8 @@
 #[derive(Default)]
 struct StoreState {
     revision: u64,
+    /// Incremented when the store comes back from an older copy; sent with each response.
+    era: u64,
     /// Key, base64 value and revision of each item.
     items: Vec<(String, String, u64)>,
     /// Whether every call fails with status 503.
@@ -158,14 +160,31 @@
     })
 }
 
+/// Adds the header with the era of the store to a response.
+async fn add_era(
+    State(store): State<SharedStore>,
+    request: axum::extract::Request,
+    next: axum::middleware::Next,
+) -> axum::response::Response {
+    let mut response = next.run(request).await;
+    let era = store.lock().unwrap().era;
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 /// Stores a configuration with the route of the only service.
 fn set_routes(store: &SharedStore, version: u64) {
     let address = service_address();
     let prefix = format!("/{}/", address.port());
-    let document = json!({ "version": version, "services": [], "limits": {}, "routes": [{
+    let routes = json!([{
         "name": "r", "host": address.ip().to_string(), "prefix": prefix, "service": SERVICE,
         "type": "idempotent", "target_latency_ms": 200, "priority": 1,
-    }] });
+    }]);
+    write_config(store, version, &routes);
+}
+
+fn write_config(store: &SharedStore, version: u64, routes: &Value) {
+    let document = json!({ "version": version, "services": [], "limits": {}, "routes": routes });
     let value = BASE64_STANDARD.encode(document.to_string());
     let mut state = store.lock().unwrap();
     state.revision += 1;
@@ -250,6 +269,10 @@
             .route("/api/kv-lease", post(handle_lease))
             .route("/api/kv-keep/{id}", post(handle_lease))
             .route("/api/kv-lease-end/{id}", delete(handle_lease))
+            .layer(axum::middleware::from_fn_with_state(
+                Arc::clone(&store),
+                add_era,
+            ))
             .with_state(Arc::clone(&store));
         let address = SocketAddr::from((ip(network, 200), STORE_PORT));
         let listener = runtime
@@ -565,6 +588,25 @@
     Cluster::wait_for("the reread after the change", || reread_count() == 2);
 }
 
+#[test]
+fn a_route_version_that_a_restored_store_gives_out_again_is_in_force() {
+    let cluster = Cluster::new();
+    cluster.store.lock().unwrap().era = 1;
+    let balancer = cluster.start("balancer", 1);
+    let _agent = cluster.start("agent", 11);
+    cluster.start_target(11);
+    Cluster::wait_for("readiness", || cluster.is_ready(1));
+    write_config(&cluster.store, 2, &json!([]));
+    Cluster::wait_for("the version that will be lost", || {
+        let lines = balancer.log_lines();
+        let mut updates = lines.iter().filter(|line| line["msg"] == "routes updated");
+        updates.any(|line| line["version"] == 2)
+    });
+    cluster.store.lock().unwrap().era = 2;
+    set_routes(&cluster.store, 2);
+    cluster.send_until_response(1, 1_001, OPEN, SYN | ACK);
+}
+
 #[test]
 fn help_and_command_line_errors() {
     let run = |arguments: &[&str]| {
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -28,9 +28,9 @@
     leases: Vec<u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct FakeStoreState {
-    /// Number of restores.
+    /// Incremented at each restore.
     era: u64,
     /// Whether every call fails.
     is_down: bool,
@@ -47,6 +47,21 @@
     calls: Vec<&'static str>,
 }
 
+impl Default for FakeStoreState {
+    fn default() -> Self {
+        Self {
+            era: 1,
+            is_down: false,
+            revision: 0,
+            oldest_revision: 0,
+            routes: None,
+            instances: Vec::new(),
+            leases: Vec::new(),
+            calls: Vec::new(),
+        }
+    }
+}
+
 /// In-memory store with leases and a history that can be compacted.
 #[derive(Clone, Debug, Default)]
 struct FakeStore {
@@ -366,3 +381,58 @@
     time::sleep(Duration::from_millis(100)).await;
     assert_eq!(route_versions(&mut receiver), [3]);
 }
+
+/// Restores a store whose revisions then exceed those of the lost contents, with routes 8 among the
+/// changes, while the registrar watches from the lost revision.
+async fn restore_past_the_watched_revision(store: &FakeStore) {
+    store.set_routes(5);
+    store.update(|state| state.revision = 90);
+    let copy = store.copy();
+    store.update(|state| state.revision = 99);
+    store.set_routes(7);
+    time::sleep(Duration::from_secs(1)).await;
+    store.restore(copy);
+    store.set_routes(7);
+    store.set_routes(8);
+    store.update(|state| state.revision = 110);
+}
+
+// Once the store has counted past a revision again, a watch from it fails no longer.
+#[tokio::test(start_paused = true)]
+async fn a_change_before_the_watched_revision_of_a_lost_era_is_not_missed() {
+    let store = FakeStore::default();
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    restore_past_the_watched_revision(&store).await;
+    time::sleep(Duration::from_secs(12)).await;
+    let versions = route_versions(&mut receiver);
+    assert_eq!(versions.last(), Some(&8), "{versions:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_of_a_lost_era_ends_when_another_call_shows_the_restore() {
+    let store = FakeStore::default();
+    let (registrar, mut receiver) = registrar(&store);
+    let era = registrar.era.clone();
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    restore_past_the_watched_revision(&store).await;
+    era.advance(StoreEra(2));
+    time::sleep(Duration::from_secs(1)).await;
+    let versions = route_versions(&mut receiver);
+    assert_eq!(versions.last(), Some(&8), "{versions:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_a_restored_store_lost_is_written_again_within_two_seconds() {
+    let store = FakeStore::default();
+    let copy = store.copy();
+    let (registrar, _receiver) = registrar(&store);
+    let era = registrar.era.clone();
+    let (lease, _lease_receiver) = tokio::sync::watch::channel(None);
+    tokio::spawn(registrar.maintain_registration(lease));
+    time::sleep(Duration::from_secs(1)).await;
+    store.restore(copy);
+    era.advance(StoreEra(2));
+    time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.state.lock().unwrap().instances.len(), 1);
+}
--- /dev/null
+++ b/tests/restored_policy.rs
@@ -0,0 +1,115 @@
+//! A policy change that was confirmed to an operator outlives a store that comes back from an older
+//! copy, as long as one balancer holds it.
+
+use std::time::Duration;
+
+use bamboowind::{
+    clock::Clock,
+    control::{
+        commit::{self, CommitContext, CommitOutcome},
+        memory_store::MemoryStore,
+        policy,
+        shared_policy::SharedPolicy,
+        store::Store,
+        store_contact::StoreContact,
+        watcher::{WatchConfig, Watcher},
+    },
+    observe::{counters::Counters, log::discard_logger},
+    proto::policy::{ChangeRequest, Limits, Policy},
+};
+use tokio::time;
+
+const KEY: &str = "policy";
+/// A change is in force within seconds of its confirmation.
+const IN_FORCE_WITHIN_MS: u64 = 2_000;
+
+/// Commits a change of the defaults to `slots` and returns the new policy.
+async fn commit_slots(store: &MemoryStore, base_version: u64, slots: u32) -> Policy {
+    let request = ChangeRequest {
+        change_id: format!("slots-{slots}"),
+        operator: "operator".to_owned(),
+        base_version,
+        set_defaults: Some(Limits {
+            slots: Some(slots),
+            ..Limits::default()
+        }),
+        ..ChangeRequest::default()
+    };
+    let context = CommitContext {
+        initial: &policy::initial(),
+        changed_at_ms: 1,
+    };
+    match commit::commit(store, KEY, &request, &context).await {
+        CommitOutcome::Accepted(policy) => *policy,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+async fn stored_policy(store: &MemoryStore) -> Policy {
+    let stored = store.get(KEY).await.unwrap();
+    commit::policy_or_initial(&stored).unwrap()
+}
+
+/// Starts the watcher of a balancer and returns the balancer's policy.
+fn start_watcher(store: &MemoryStore) -> SharedPolicy {
+    let policy = SharedPolicy::new();
+    let watcher = Watcher {
+        store: store.clone(),
+        config: WatchConfig {
+            policy_key: KEY.into(),
+            failure_domain: "a".into(),
+            holder: "balancer-1".into(),
+            max_watchers: 1,
+            lease_ttl_ms: 3_000,
+        },
+        policy: policy.clone(),
+        store_contact: StoreContact::new(),
+        clock: Clock::new(),
+        counters: Counters::new(),
+        log: discard_logger(),
+    };
+    tokio::spawn(watcher.run());
+    policy
+}
+
+/// Waits until the policy of a balancer has `version`.
+async fn wait_for_version(policy: &SharedPolicy, version: u64) {
+    let mut updates = policy.subscribe();
+    let update = updates.wait_for(|policy| policy.version == version);
+    let timeout = Duration::from_millis(IN_FORCE_WITHIN_MS);
+    let in_time = time::timeout(timeout, update).await;
+    assert!(in_time.is_ok(), "version {version} is not in force");
+}
+
+#[tokio::test]
+async fn a_confirmed_change_that_a_restore_lost_is_written_again() {
+    let store = MemoryStore::new().with_watch_timeout_ms(200);
+    let policy = start_watcher(&store);
+    commit_slots(&store, 0, 7).await;
+    let copy = store.copy();
+    let confirmed = commit_slots(&store, 1, 9).await;
+    wait_for_version(&policy, 2).await;
+    store.restore(copy);
+    time::sleep(Duration::from_millis(IN_FORCE_WITHIN_MS)).await;
+    assert_eq!(stored_policy(&store).await, confirmed);
+}
+
+// After the restore another operator changes the older policy, which gets the lost version number.
+#[tokio::test]
+async fn a_version_that_is_given_out_twice_is_in_force_with_its_later_contents() {
+    let store = MemoryStore::new().with_watch_timeout_ms(200);
+    let policy = start_watcher(&store);
+    commit_slots(&store, 0, 7).await;
+    let copy = store.copy();
+    commit_slots(&store, 1, 9).await;
+    wait_for_version(&policy, 2).await;
+    let restored = MemoryStore::new();
+    restored.restore(copy);
+    commit_slots(&restored, 1, 11).await;
+    store.restore(restored.copy());
+    time::sleep(Duration::from_millis(IN_FORCE_WITHIN_MS)).await;
+    let slots = |policy: &Policy| policy.defaults.and_then(|limits| limits.slots);
+    let current = policy.current();
+    assert_eq!(slots(&current), Some(11), "version {}", current.version);
+    assert_eq!(*current, stored_policy(&store).await);
+}
--- /dev/null
+++ b/tests/restored_store.rs
@@ -0,0 +1,87 @@
+//! What instances conclude from a list that the store returns after it was restored from an older
+//! copy: entries of instances that have left are back, and those of newer instances are missing.
+
+use bamboowind::{
+    forward::peering::Peering,
+    membership::instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
+};
+
+fn agent(name: &str, incarnation: u64, host: u8) -> Instance {
+    Instance {
+        name: name.into(),
+        incarnation,
+        role: InstanceRole::Agent,
+        failure_domain: "a".into(),
+        packet_address: format!("10.0.1.{host}:8000").parse().unwrap(),
+        control_address: format!("10.0.1.{host}:7000").parse().unwrap(),
+    }
+}
+
+fn presence(instance: &Instance, state: TargetState) -> Presence {
+    let load = TargetLoad {
+        state,
+        service: Some("catalogo".into()),
+        capacity: 5,
+        ..TargetLoad::default()
+    };
+    Presence {
+        instance: instance.clone(),
+        is_leaving: false,
+        route_version: 1,
+        load: Some(load),
+        reaches_store: true,
+        is_in_rotation: false,
+        next_within_ms: 200,
+        receiver_was_draining: false,
+    }
+}
+
+fn local_peering() -> Peering {
+    Peering::new(agent("m-local", 1, 1), Vec::new(), 0)
+}
+
+// The entry of an instance that has left returns with the copy, and its name sorts first.
+#[test]
+fn load_reports_from_an_address_that_a_returned_entry_names_are_applied() {
+    let mut peering = local_peering();
+    let (left, successor) = (agent("a-left", 1, 2), agent("b-successor", 2, 2));
+    peering.handle_presence(presence(&successor, TargetState::Ready), false, 1, None, 0);
+    peering.handle_listing(vec![left, successor.clone()], 1, None, 100);
+    let load = TargetLoad {
+        state: TargetState::Ready,
+        running: 4,
+        ..TargetLoad::default()
+    };
+    peering.handle_load(successor.control_address, &load, 200);
+    let member = peering.directory.member("b-successor").unwrap();
+    assert_eq!((member.load.running, member.last_heard_at_ms), (4, 200));
+}
+
+// The same in the other order: the returned entry is read before its successor is heard.
+#[test]
+fn an_instance_that_is_heard_replaces_a_listed_one_at_its_address() {
+    let mut peering = local_peering();
+    let (left, successor) = (agent("a-left", 1, 2), agent("b-successor", 2, 2));
+    peering.handle_listing(vec![left], 1, None, 0);
+    peering.handle_presence(
+        presence(&successor, TargetState::Ready),
+        false,
+        1,
+        None,
+        100,
+    );
+    let load = TargetLoad {
+        state: TargetState::Ready,
+        running: 4,
+        ..TargetLoad::default()
+    };
+    peering.handle_load(successor.control_address, &load, 200);
+    let member = peering.directory.member("b-successor").unwrap();
+    assert_eq!((member.load.running, member.last_heard_at_ms), (4, 200));
+    let view = peering.directory.search_view(7, u64::MAX, 300);
+    let awaited = view.awaited.map(|member| &*member.instance.name);
+    assert_eq!(
+        awaited, None,
+        "nothing runs at the address but the successor"
+    );
+}
