Do not watch the routes from a revision of an earlier store era

Seen: after a restore a change of the routes is not served, for as long as no later one comes. Cause (hypothesis A): a revision counts the changes of one era. The watch took it into the next one, where the store may have counted past it again, so there is no 410 and the change in between is missed. Class: a value that is comparable only within one era is used across a restore. Fix: a watch whose answer comes from another era than its revision is followed by a new read, and a watch ends as soon as any call of the process shows a newer era. Both wait for the backoff, so a store that reports eras in disorder causes no storm.

--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -210,6 +210,7 @@
         connectivity: &mut StoreConnectivity,
         backoff: &mut Backoff,
     ) -> Result<(), StoreError> {
+        let known_era = self.era.current();
         let StoreReply {
             era,
             value: reading,
@@ -230,7 +231,18 @@
             let watching = self
                 .store
                 .watch_prefix(self.document.key(), revision, WATCH_WAIT_MS);
-            let reply = self.call_store(watching).await?;
+            let reply = tokio::select! {
+                reply = self.call_store(watching) => reply?,
+                () = self.restored_since(known_era.max(era)) => {
+                    backoff.wait().await;
+                    return Ok(());
+                }
+            };
+            // A revision has a meaning only within its era.
+            if reply.era != era {
+                backoff.wait().await;
+                return Ok(());
+            }
             match reply.value {
                 PrefixChanges::Compacted => {
                     info!(self.log, "watched revision is compacted; rereading the routes";
@@ -269,6 +281,12 @@
         }
     }
 
+    /// Waits until an era newer than `era` is known.
+    async fn restored_since(&self, era: StoreEra) {
+        // Fails only if the sender is gone, which `self` holds.
+        let _ = self.era.subscribe().wait_for(|known| *known > era).await;
+    }
+
     /// Logs and counts that the store has been restored from an older copy.
     fn note_era(&self, era: StoreEra) {
         if let Some(previous) = self.era.advance(era) {
