Register again as soon as a restore of the store is known

Class: as for the watch, a value of one era is used in the next one. Fix: the renewal is due, after a random delay of at most 1 s, when any call shows a newer era. An entry that the list lacks though its lease is kept is written again too: the copy may be older than the entry and newer than the lease. Evidence: an_entry_that_a_restored_store_lost_is_written_again_within_two_seconds failed before (0 entries after 2 s) and passes; so does an_entry_that_is_missing_under_a_kept_lease_is_written_again, which is new with the fix.

--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -7,6 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use prost::Message;
+use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::{sync::mpsc, time};
 
@@ -28,6 +29,9 @@
 const LEASE_TTL_MS: u64 = 30_000;
 /// Interval between two renewals, a third of the time to live.
 const RENEW_INTERVAL_MS: u64 = 10_000;
+/// Maximum random delay of the renewal after a restore of the store. Spreads the calls of all
+/// instances.
+const RESTORE_SPREAD_MS: u64 = 1_000;
 /// Timeout of a watch.
 const WATCH_WAIT_MS: u64 = 10_000;
 /// Interval at which an agent checks whether it has to watch the routes itself.
@@ -136,8 +140,9 @@
         connectivity.mark_reached(&self.log);
         backoff.reset();
         self.read_instances(false).await?;
+        let mut era = written.era;
         loop {
-            time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)).await;
+            let is_restored = self.wait_for_renewal(era).await;
             let is_kept = loop {
                 match self.call_store(self.store.keep_lease_alive(lease)).await {
                     Ok(reply) => break reply.value,
@@ -154,12 +159,32 @@
                     "era" => self.era.current().0);
                 return Ok(());
             }
-            self.read_instances(true).await?;
+            // The copy may hold the lease without the entry.
+            let is_listed = self.read_instances(!is_restored).await?;
+            if !is_listed {
+                info!(self.log, "entry is missing in the store; registering again";
+                    "lease" => ?lease, "era" => self.era.current().0);
+                return Ok(());
+            }
+            era = self.era.current();
+        }
+    }
+
+    /// Waits until the lease is due for renewal: at once after a restore, which may have lost it.
+    /// Returns whether the store has been restored since `era`.
+    async fn wait_for_renewal(&self, era: StoreEra) -> bool {
+        let interval = Duration::from_millis(RENEW_INTERVAL_MS);
+        let restored = time::timeout(interval, self.restored_since(era)).await;
+        if restored.is_ok() {
+            let delay_ms = rand::rng().random_range(0..=RESTORE_SPREAD_MS);
+            time::sleep(Duration::from_millis(delay_ms)).await;
         }
+        restored.is_ok()
     }
 
     /// Reads all registered instances and sends them as an update. Malformed entries are skipped.
-    async fn read_instances(&self, may_be_stale: bool) -> Result<(), StoreError> {
+    /// Returns whether this instance is among them.
+    async fn read_instances(&self, may_be_stale: bool) -> Result<bool, StoreError> {
         let reading = self.store.read_range(INSTANCES_PREFIX, may_be_stale);
         let StoreReply {
             era,
@@ -167,6 +192,10 @@
         } = self.call_store(reading).await?;
         info!(self.log, "instances read from the store"; "era" => era.0, "listed" => entries.len(),
             "may_be_stale" => may_be_stale);
+        let name = &self.local_instance.name;
+        let is_listed = entries
+            .iter()
+            .any(|entry| entry.key.strip_prefix(INSTANCES_PREFIX) == Some(name));
         let instances = entries.iter().filter_map(|entry| {
             let message = wire::Instance::decode(&*entry.value).ok();
             let instance = message.as_ref().and_then(Instance::from_message);
@@ -179,7 +208,7 @@
         });
         self.send(ClusterUpdate::Instances(instances.collect()))
             .await;
-        Ok(())
+        Ok(is_listed)
     }
 
     /// Follows changes of the routes, in an endless loop.
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -436,3 +436,22 @@
     time::sleep(Duration::from_secs(2)).await;
     assert_eq!(store.state.lock().unwrap().instances.len(), 1);
 }
+
+// The copy was made between the creation of the lease and the write of the entry.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_missing_under_a_kept_lease_is_written_again() {
+    let store = FakeStore::default();
+    let (registrar, _receiver) = registrar(&store);
+    let era = registrar.era.clone();
+    let (lease, _lease_receiver) = tokio::sync::watch::channel(None);
+    tokio::spawn(registrar.maintain_registration(lease));
+    time::sleep(Duration::from_secs(1)).await;
+    let copy = StoreCopy {
+        instances: Vec::new(),
+        ..store.copy()
+    };
+    store.restore(copy);
+    era.advance(StoreEra(2));
+    time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.state.lock().unwrap().instances.len(), 1);
+}
