Do not take a live instance for one that had its address before

Seen: after a restore the load reports of a live agent are ignored (0 running instead of 4), so balancers place on an old figure, and the agent that left is awaited, so searches stay incomplete and callers of lost flows are not reset for as long as the returned entry is listed (up to 30 s). Class: a list is taken for complete and current, though it is one of older contents. The same came from a list of a peer or an entry left to expire, only more rarely. Fix: a listed instance is not added at the address of a live one of another name, and an instance that is heard for the first time removes silent members at its address: two processes cannot have one address. Live members are not removed, since a delayed message of the earlier one must not end the later one; the scan happens only when an instance joins.

--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -251,9 +251,17 @@
 
     /// Adds an instance that the store or another instance has named.
     ///
-    /// A member that is considered alive is not replaced by this indirect information.
+    /// A member that is considered alive is not replaced by this indirect information, neither
+    /// under its name nor at its address: the entry of an instance that has left may return when the
+    /// store is restored from a copy.
     pub fn add_unconfirmed(&mut self, instance: Instance, now_ms: u64) -> Option<MemberChange> {
-        if instance.name == self.local_name {
+        let is_successor = |member: &Member| {
+            member.instance.control_address == instance.control_address
+                && member.instance.name != instance.name
+                && member.is_confirmed
+                && member.is_alive(now_ms)
+        };
+        if instance.name == self.local_name || self.members.iter().any(is_successor) {
             return None;
         }
         match self.find(&instance.name) {
@@ -291,11 +299,17 @@
             return None;
         }
         let mut change = None;
+        let is_new = self.find(&instance.name).map_or(true, |index| {
+            let member = &self.members[index];
+            member.instance.incarnation != instance.incarnation || !member.is_confirmed
+        });
+        if is_new {
+            self.remove_predecessors(&instance, now_ms);
+        }
         let index = match self.find(&instance.name) {
             Ok(index) => {
-                let member = &mut self.members[index];
-                if member.instance.incarnation != instance.incarnation || !member.is_confirmed {
-                    member.replace(instance, now_ms);
+                if is_new {
+                    self.members[index].replace(instance, now_ms);
                     change = Some(MemberChange::Joined);
                 }
                 index
@@ -333,6 +347,20 @@
         }
     }
 
+    /// Removes the silent members that had the address of an instance that is heard from. Two
+    /// processes cannot have the same address, so they have exited.
+    fn remove_predecessors(&mut self, instance: &Instance, now_ms: u64) {
+        let len = self.members.len();
+        self.members.retain(|member| {
+            member.instance.control_address != instance.control_address
+                || member.instance.name == instance.name
+                || member.is_confirmed && member.is_alive(now_ms)
+        });
+        if self.members.len() < len {
+            self.generation += 1;
+        }
+    }
+
     /// Handles a load report from an agent; one from an unknown or unconfirmed sender is ignored.
     pub fn handle_load(
         &mut self,
