Order route tables by number and era

Callers saw (test with the real binary): a route that the operator had added is refused, for as long as the balancer runs. Class: a value that is comparable only within one era. Fix: a version is a number and the era in which the table was read; the later era decides between equal numbers. Presence messages and fetched tables carry both (two new fields, 0 from older processes, which keep comparing by number). A lower number never replaces a higher one, so a confirmed configuration that only running processes still hold stays in force and reaches those that start. At a restore each process replaces its table once, which costs as much as one change of the configuration.

--- a/benches/search.rs
+++ b/benches/search.rs
@@ -8,9 +8,12 @@
     time::Instant,
 };
 
-use bamboowind::membership::{
-    directory::Directory,
-    instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
+use bamboowind::{
+    flow::routes::RouteVersion,
+    membership::{
+        directory::Directory,
+        instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
+    },
 };
 
 const SIZES: [u32; 3] = [10, 60, 300];
@@ -34,7 +37,7 @@
             control_address: SocketAddrV4::new(ip, 7_000),
         },
         is_leaving: false,
-        route_version: 1,
+        route_version: RouteVersion::default(),
         load: Some(TargetLoad {
             state: TargetState::Ready,
             service: Some("catalogo".into()),
--- a/src/flow/routes.rs
+++ b/src/flow/routes.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use crate::proto::flow as wire;
+use crate::{control::store::StoreEra, proto::flow as wire};
 
 /// Idle time after which a flow expires if the configuration does not set one.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
@@ -47,10 +47,38 @@
     }
 }
 
+/// Version of a route table. A table is replaced only by one with a higher version.
+///
+/// A store that was restored from an older copy may assign the number of a lost configuration to
+/// another one, so the later era decides between equal numbers.
+///
+/// ```
+/// use bamboowind::{control::store::StoreEra, flow::routes::RouteVersion};
+///
+/// let lost = RouteVersion::new(5, StoreEra(1));
+/// assert!(RouteVersion::new(5, StoreEra(2)) > lost);
+/// assert!(RouteVersion::new(4, StoreEra(2)) < lost);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RouteVersion {
+    /// Number assigned by the operator; 0 means that no configuration has been received.
+    pub number: u64,
+    /// Era of the store in which the configuration was read.
+    pub era: StoreEra,
+}
+
+impl RouteVersion {
+    /// Creates the version `number` as read in `era`.
+    #[must_use]
+    pub fn new(number: u64, era: StoreEra) -> Self {
+        Self { number, era }
+    }
+}
+
 /// Routes of one configuration version, sorted by address.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RouteTable {
-    version: u64,
+    version: RouteVersion,
     idle_timeout_ms: u64,
     routes: Vec<Route>,
 }
@@ -76,11 +104,11 @@
     /// assert_eq!(&*table.service(address, 12).unwrap(), "catalogo");
     /// ```
     #[must_use]
-    pub fn new(version: u64, mut routes: Vec<Route>) -> Self {
+    pub fn new(number: u64, mut routes: Vec<Route>) -> Self {
         routes.sort_by_key(|route| route.address);
         routes.dedup_by_key(|route| route.address);
         Self {
-            version,
+            version: RouteVersion::new(number, StoreEra::default()),
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             routes,
         }
@@ -93,9 +121,16 @@
         self
     }
 
+    /// Sets the era of the store in which the configuration was read.
+    #[must_use]
+    pub fn with_era(mut self, era: StoreEra) -> Self {
+        self.version.era = era;
+        self
+    }
+
     /// Version of the configuration.
     #[must_use]
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> RouteVersion {
         self.version
     }
 
@@ -164,7 +199,8 @@
             priority: route.class.priority.into(),
         };
         wire::RouteTable {
-            version: self.version,
+            version: self.version.number,
+            era: self.version.era.0,
             idle_timeout_ms: self.idle_timeout_ms,
             routes: self.routes.iter().map(route).collect(),
         }
@@ -189,7 +225,9 @@
             })
         };
         let routes = message.routes.into_iter().filter_map(route).collect();
-        Self::new(message.version, routes).with_idle_timeout_ms(message.idle_timeout_ms)
+        Self::new(message.version, routes)
+            .with_era(StoreEra(message.era))
+            .with_idle_timeout_ms(message.idle_timeout_ms)
     }
 }
 
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -15,7 +15,7 @@
     target::{Heartbeat, HeartbeatOutcome, Target},
 };
 use crate::{
-    flow::{packet::PacketFormat, table::FlowTable},
+    flow::{packet::PacketFormat, routes::RouteVersion, table::FlowTable},
     forward::{
         absence::{FlowAbsence, TargetAnswer},
         decision::Decision,
@@ -67,8 +67,8 @@
     pub(super) redirects: FlowTable,
     /// Whether the full list of instances has been read from the store.
     pub(super) members_known: bool,
-    /// Version of the newest known route table; 0 before the first one.
-    pub(super) route_version: u64,
+    /// Version of the newest known route table.
+    pub(super) route_version: RouteVersion,
     /// Time without packets after which an open flow is removed; `REGISTRATION_TTL_MS` until the
     /// first route table.
     pub(super) idle_timeout_ms: u64,
@@ -111,7 +111,7 @@
             flow_owners: FlowTable::new(),
             redirects: FlowTable::new(),
             members_known: false,
-            route_version: 0,
+            route_version: RouteVersion::default(),
             idle_timeout_ms: REGISTRATION_TTL_MS,
             reported_load: TargetLoad::default(),
             load_reported_at_ms: now_ms,
@@ -127,7 +127,7 @@
 
     /// Applies the version and the idle timeout of a route table if it is newer than the current
     /// one.
-    pub fn set_routes(&mut self, version: u64, idle_timeout_ms: u64) {
+    pub fn set_routes(&mut self, version: RouteVersion, idle_timeout_ms: u64) {
         if version > self.route_version {
             self.peering.decisions.push(Decision::RoutesChanged {
                 version,
@@ -141,7 +141,7 @@
 
     /// Version of the newest route table known to the agent; 0 before the first one.
     #[must_use]
-    pub fn route_version(&self) -> u64 {
+    pub fn route_version(&self) -> RouteVersion {
         self.route_version
     }
 
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -259,8 +259,9 @@
                     self.core
                         .set_routes(routes.version(), routes.idle_timeout_ms());
                 } else {
-                    info!(self.log, "routes ignored"; "version" => routes.version(),
-                        "in_force" => self.core.route_version());
+                    info!(self.log, "routes ignored"; "version" => routes.version().number,
+                        "era" => routes.version().era.0,
+                        "in_force" => self.core.route_version().number, "in_force_era" => self.core.route_version().era.0);
                 }
             }
         }
--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -310,7 +310,7 @@
         self.peering.decisions.push(Decision::Refused {
             flow,
             reason: Reason::FlowLost(absence.into_ground()),
-            route_version: self.route_version,
+            route_version: self.route_version.number,
             tried: hop.tried,
         });
         AgentVerdict::Reset(flow.caller, self.format.reset(flow, sequence))
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -195,7 +195,7 @@
             copy: segment.acknowledged,
             running: chosen.load.running + chosen.placed_since_report,
             load_age_ms: chosen.load_age_ms(now_ms),
-            route_version: self.routes.version(),
+            route_version: self.routes.version().number,
         };
         self.peering.decisions.push(decision);
         self.peering.directory.count_placed(&name);
@@ -206,7 +206,7 @@
 
     /// Refuses a SYN that matches no route, or drops it if there is no route table yet.
     fn refuse_unrouted(&mut self, segment: &Segment, flow: FlowKey) -> Verdict<F::Reset> {
-        if self.routes.version() == 0 {
+        if self.routes.version().number == 0 {
             return self.refuse(segment, flow, Reason::NoConfiguration, false);
         }
         self.refuse(segment, flow, Reason::NoRoute, true)
@@ -224,7 +224,7 @@
             self.peering.decisions.push(Decision::Refused {
                 flow,
                 reason,
-                route_version: self.routes.version(),
+                route_version: self.routes.version().number,
                 tried: 0,
             });
             return Verdict::Reset(flow.caller, self.format.reset(flow, segment.acknowledged));
@@ -314,7 +314,8 @@
         let members = self.peering.directory.members().iter();
         let mut ready = members.filter(|m| m.load.state == TargetState::Ready);
         let knows_target = ready.any(|member| member.is_alive(now_ms));
-        self.routes.version() > 0 && knows_target || self.peering.uptime_ms(now_ms) >= DISCOVERY_MS
+        self.routes.version().number > 0 && knows_target
+            || self.peering.uptime_ms(now_ms) >= DISCOVERY_MS
     }
 
     /// Whether the balancer has routes, knows a live instance and is not leaving, so that it can
@@ -323,7 +324,7 @@
     pub fn is_ready(&self, now_ms: u64) -> bool {
         let members = self.peering.directory.members();
         !self.peering.is_leaving()
-            && self.routes.version() > 0
+            && self.routes.version().number > 0
             && members.iter().any(|member| member.is_alive(now_ms))
     }
 }
--- a/src/forward/balancer/driver.rs
+++ b/src/forward/balancer/driver.rs
@@ -148,8 +148,9 @@
                     let version = routes.version();
                     self.core.peering.broadcast_presence(version, None, now_ms);
                 } else {
-                    info!(self.log, "routes ignored"; "version" => routes.version(),
-                        "in_force" => version);
+                    info!(self.log, "routes ignored"; "version" => routes.version().number,
+                        "era" => routes.version().era.0,
+                        "in_force" => version.number, "in_force_era" => version.era.0);
                 }
             }
         }
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -6,7 +6,10 @@
 
 use super::absence::AbsenceGround;
 use crate::{
-    flow::packet::{FlowKey, Lookup},
+    flow::{
+        packet::{FlowKey, Lookup},
+        routes::RouteVersion,
+    },
     membership::{directory::MemberChange, instance::TargetState},
     observe::{
         counters::{Counters, Event},
@@ -243,9 +246,9 @@
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
-        version: u64,
-        /// Version of the previous table; 0 if there was none.
-        previous: u64,
+        version: RouteVersion,
+        /// Version of the previous table.
+        previous: RouteVersion,
         /// Number of routes in the new table; 0 at agents, which store only its version.
         len: usize,
     },
@@ -424,7 +427,8 @@
             version,
             previous,
             len,
-        } => info!(log, "routes updated"; "version" => version, "previous" => previous,
+        } => info!(log, "routes updated"; "version" => version.number, "era" => version.era.0,
+            "previous" => previous.number, "previous_era" => previous.era.0,
             "routes" => len, "left_out" => suppressed),
     }
 }
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -5,7 +5,8 @@
 use prost::Message;
 
 use crate::{
-    flow::packet::FlowKey,
+    control::store::StoreEra,
+    flow::{packet::FlowKey, routes::RouteVersion},
     membership::instance::{Instance, Presence, TargetLoad},
     proto::flow as wire,
 };
@@ -48,7 +49,8 @@
                 instance: Some(presence.instance.to_message()),
                 is_leaving: presence.is_leaving,
                 wants_members: *wants_members,
-                route_version: presence.route_version,
+                route_version: presence.route_version.number,
+                route_era: presence.route_version.era.0,
                 load: presence.load.as_ref().map(|load| load.to_message(true)),
                 reaches_store: presence.reaches_store,
                 is_in_rotation: presence.is_in_rotation,
@@ -79,7 +81,10 @@
                 Box::new(Presence {
                     instance: Instance::from_message(presence.instance.as_ref()?)?,
                     is_leaving: presence.is_leaving,
-                    route_version: presence.route_version,
+                    route_version: RouteVersion::new(
+                        presence.route_version,
+                        StoreEra(presence.route_era),
+                    ),
                     load: presence.load.as_ref().map(TargetLoad::from_message),
                     reaches_store: presence.reaches_store,
                     is_in_rotation: presence.is_in_rotation,
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -7,9 +7,12 @@
     decision::Decision,
     notices::{Notice, Outbox},
 };
-use crate::membership::{
-    directory::{Directory, Member, MemberChange},
-    instance::{Instance, InstanceRole, Presence, TargetLoad},
+use crate::{
+    flow::routes::RouteVersion,
+    membership::{
+        directory::{Directory, Member, MemberChange},
+        instance::{Instance, InstanceRole, Presence, TargetLoad},
+    },
 };
 
 /// Minimum interval between two presence messages.
@@ -178,7 +181,12 @@
 
     /// The current presence of this instance.
     #[must_use]
-    pub fn presence(&self, route_version: u64, load: Option<TargetLoad>, now_ms: u64) -> Presence {
+    pub fn presence(
+        &self,
+        route_version: RouteVersion,
+        load: Option<TargetLoad>,
+        now_ms: u64,
+    ) -> Presence {
         Presence {
             instance: self.local_instance.clone(),
             is_leaving: self.is_leaving,
@@ -207,7 +215,12 @@
 
     /// Chooses the receivers of load reports again when that is due. An instance that is no longer
     /// one is told when it will be sent the next message, so that it does not suspect this one.
-    pub fn update_load_receivers(&mut self, route_version: u64, load: &TargetLoad, now_ms: u64) {
+    pub fn update_load_receivers(
+        &mut self,
+        route_version: RouteVersion,
+        load: &TargetLoad,
+        now_ms: u64,
+    ) {
         let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < MAX_LOAD_INTERVAL_MS.into();
         if self.receivers_chosen_at_ms.is_some_and(is_recent) {
             return;
@@ -232,13 +245,13 @@
     }
 
     /// Announces to all instances that this one is about to exit.
-    pub fn leave(&mut self, route_version: u64, load: Option<TargetLoad>, now_ms: u64) {
+    pub fn leave(&mut self, route_version: RouteVersion, load: Option<TargetLoad>, now_ms: u64) {
         self.is_leaving = true;
         self.broadcast_presence(route_version, load, now_ms);
     }
 
     /// Sends a presence message when it is due, and removes silent instances.
-    pub fn tick(&mut self, route_version: u64, load: Option<TargetLoad>, now_ms: u64) {
+    pub fn tick(&mut self, route_version: RouteVersion, load: Option<TargetLoad>, now_ms: u64) {
         let is_due = |at_ms: Option<u64>, interval_ms: u64| {
             at_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= interval_ms)
         };
@@ -259,7 +272,7 @@
     /// sends one to the seeds that have not been heard from.
     pub fn broadcast_presence(
         &mut self,
-        route_version: u64,
+        route_version: RouteVersion,
         load: Option<TargetLoad>,
         now_ms: u64,
     ) {
@@ -305,7 +318,7 @@
     pub fn handle_listing(
         &mut self,
         instances: Vec<Instance>,
-        route_version: u64,
+        route_version: RouteVersion,
         load: Option<&TargetLoad>,
         now_ms: u64,
     ) -> usize {
@@ -324,7 +337,7 @@
     pub fn add_instance(
         &mut self,
         instance: Instance,
-        route_version: u64,
+        route_version: RouteVersion,
         load: Option<TargetLoad>,
         now_ms: u64,
     ) {
@@ -347,7 +360,7 @@
         &mut self,
         presence: Presence,
         wants_members: bool,
-        route_version: u64,
+        route_version: RouteVersion,
         load: Option<TargetLoad>,
         now_ms: u64,
     ) {
@@ -402,7 +415,11 @@
     /// Control address and route version of the live instance with the newest route table, if that
     /// is newer than `version`.
     #[must_use]
-    pub fn newer_routes(&self, version: u64, now_ms: u64) -> Option<(SocketAddrV4, u64)> {
+    pub fn newer_routes(
+        &self,
+        version: RouteVersion,
+        now_ms: u64,
+    ) -> Option<(SocketAddrV4, RouteVersion)> {
         let members = self.directory.members().iter();
         members
             .filter(|m| m.is_alive(now_ms) && m.route_version > version)
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -298,9 +298,10 @@
     async fn handle_route_entry(&self, entry: &Entry, era: StoreEra) {
         match self.document.decode(&entry.value) {
             Ok(routes) => {
-                info!(self.log, "routes read from the store"; "version" => routes.version(),
+                info!(self.log, "routes read from the store"; "version" => routes.version().number,
                     "revision" => entry.revision.0, "era" => era.0);
-                self.send(ClusterUpdate::Routes(Arc::new(routes))).await;
+                let routes = Arc::new(routes.with_era(era));
+                self.send(ClusterUpdate::Routes(routes)).await;
             }
             Err(reason) => {
                 self.counters.count(Event::IgnoredReport);
--- a/src/forward/route_fetch.rs
+++ b/src/forward/route_fetch.rs
@@ -46,7 +46,7 @@
             let frame: Bytes = table.to_message().encode_to_vec().into();
             let timeout = Duration::from_millis(FETCH_TIMEOUT_MS);
             let sent = time::timeout(timeout, framed(stream).send(frame)).await;
-            debug!(log, "route fetch served"; "to" => %peer, "version" => table.version(),
+            debug!(log, "route fetch served"; "to" => %peer, "version" => table.version().number,
                 "is_sent" => matches!(sent, Ok(Ok(()))));
         });
     }
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use crate::flow::packet::VIEW_DIGEST_BITS;
+use crate::flow::{packet::VIEW_DIGEST_BITS, routes::RouteVersion};
 
 use super::{
     instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
@@ -49,8 +49,8 @@
     /// Whether the instance's target was draining according to the last report of an earlier
     /// incarnation of the instance.
     pub was_draining: bool,
-    /// Version of the instance's route table; 0 if it has none.
-    pub route_version: u64,
+    /// Version of the instance's route table.
+    pub route_version: RouteVersion,
     /// Whether the fabric sends callers' packets to the instance.
     pub is_in_rotation: bool,
     /// Time at which the instance last reported contact with the store; `None` if it never did.
@@ -77,7 +77,7 @@
             is_listed: false,
             is_leaving: false,
             was_draining: false,
-            route_version: 0,
+            route_version: RouteVersion::default(),
             is_in_rotation: false,
             reached_store_at_ms: None,
             load: TargetLoad::default(),
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use crate::proto::flow as wire;
+use crate::{flow::routes::RouteVersion, proto::flow as wire};
 
 /// Role of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -167,8 +167,8 @@
     pub instance: Instance,
     /// Whether the sender is about to exit.
     pub is_leaving: bool,
-    /// Version of the sender's route table; 0 if it has none.
-    pub route_version: u64,
+    /// Version of the sender's route table.
+    pub route_version: RouteVersion,
     /// Load of the sender's target; `None` from balancers.
     pub load: Option<TargetLoad>,
     /// Whether the sender has had contact with the store within the last seconds.
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -87,6 +87,9 @@
     /// reported it. A started agent does not take such a target for ready before its next heartbeat.
     #[prost(bool, tag = "9")]
     pub receiver_was_draining: bool,
+    /// Era of the store in which the sender's route table was read; 0 if it is not known.
+    #[prost(uint64, tag = "10")]
+    pub route_era: u64,
 }
 /// Load of a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -164,8 +167,8 @@
 /// Route table: the services that receive the new flows to each address.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RouteTable {
-    /// Version of the configuration; a table is replaced only by one with a higher version. 0 if no
-    /// configuration has been received.
+    /// Version of the configuration; a table is replaced only by one with a higher version, or with the
+    /// same version from a later era. 0 if no configuration has been received.
     #[prost(uint64, tag = "1")]
     pub version: u64,
     /// Idle time after which a flow may expire, in milliseconds.
@@ -174,6 +177,9 @@
     /// The routes, at most one per address.
     #[prost(message, repeated, tag = "3")]
     pub routes: ::prost::alloc::vec::Vec<Route>,
+    /// Era of the store in which the configuration was read; 0 if it is not known.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 /// An address that callers open flows to and the services behind it.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -268,7 +268,7 @@
 fn route_versions(receiver: &mut mpsc::Receiver<ClusterUpdate>) -> Vec<u64> {
     std::iter::from_fn(|| receiver.try_recv().ok())
         .filter_map(|learned| match learned {
-            ClusterUpdate::Routes(routes) => Some(routes.version()),
+            ClusterUpdate::Routes(routes) => Some(routes.version().number),
             ClusterUpdate::StoreReached | ClusterUpdate::Instances(_) => None,
         })
         .collect()
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -2,10 +2,17 @@
 //! copy: entries of instances that have left are back, and those of newer instances are missing.
 
 use bamboowind::{
+    control::store::StoreEra,
+    flow::routes::RouteVersion,
     forward::peering::Peering,
     membership::instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
 };
 
+const VERSION: RouteVersion = RouteVersion {
+    number: 1,
+    era: StoreEra(1),
+};
+
 fn agent(name: &str, incarnation: u64, host: u8) -> Instance {
     Instance {
         name: name.into(),
@@ -27,7 +34,7 @@
     Presence {
         instance: instance.clone(),
         is_leaving: false,
-        route_version: 1,
+        route_version: VERSION,
         load: Some(load),
         reaches_store: true,
         is_in_rotation: false,
@@ -45,8 +52,14 @@
 fn load_reports_from_an_address_that_a_returned_entry_names_are_applied() {
     let mut peering = local_peering();
     let (left, successor) = (agent("a-left", 1, 2), agent("b-successor", 2, 2));
-    peering.handle_presence(presence(&successor, TargetState::Ready), false, 1, None, 0);
-    peering.handle_listing(vec![left, successor.clone()], 1, None, 100);
+    peering.handle_presence(
+        presence(&successor, TargetState::Ready),
+        false,
+        VERSION,
+        None,
+        0,
+    );
+    peering.handle_listing(vec![left, successor.clone()], VERSION, None, 100);
     let load = TargetLoad {
         state: TargetState::Ready,
         running: 4,
@@ -62,11 +75,11 @@
 fn an_instance_that_is_heard_replaces_a_listed_one_at_its_address() {
     let mut peering = local_peering();
     let (left, successor) = (agent("a-left", 1, 2), agent("b-successor", 2, 2));
-    peering.handle_listing(vec![left], 1, None, 0);
+    peering.handle_listing(vec![left], VERSION, None, 0);
     peering.handle_presence(
         presence(&successor, TargetState::Ready),
         false,
-        1,
+        VERSION,
         None,
         100,
     );
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -566,13 +566,16 @@
         };
         for core in &mut self.balancers {
             let listing = listing(core.peering.local_instance().control_address);
-            core.peering.handle_listing(listing, 1, None, self.now_ms);
+            let version = core.routes().version();
+            core.peering
+                .handle_listing(listing, version, None, self.now_ms);
         }
         for agent in self.agents.iter_mut().filter(|agent| !agent.is_frozen) {
             let load = agent.core.load(self.now_ms);
             let listing = listing(agent.instance.control_address);
+            let version = agent.core.route_version();
             let peering = &mut agent.core.peering;
-            peering.handle_listing(listing, 1, Some(&load), self.now_ms);
+            peering.handle_listing(listing, version, Some(&load), self.now_ms);
         }
     }
 
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -214,7 +214,7 @@
                 sim.toggle_delay(pair);
             }
             Event::ChangeRoutes(choice) => {
-                let version = sim.routes.version() + 1;
+                let version = sim.routes.version().number + 1;
                 sim.set_routes(split_routes(choice, version));
             }
             Event::ReuseAddress(index) => {
