Learn of a restore of the store from the route tables of others

Fix: the era of a route table that is fetched from another instance counts as known. No call and no message is added but one fetch of the routes by each instance at a restore.

--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -255,7 +255,7 @@
                     "live_unlisted" => unlisted);
             }
             ClusterUpdate::Routes(routes) => {
-                if self.io.publish_routes(&routes) {
+                if self.io.publish_routes(&routes, &self.log) {
                     self.core
                         .set_routes(routes.version(), routes.idle_timeout_ms());
                 } else {
--- a/src/forward/balancer/driver.rs
+++ b/src/forward/balancer/driver.rs
@@ -143,7 +143,7 @@
                     "live_unlisted" => unlisted);
             }
             ClusterUpdate::Routes(routes) => {
-                if self.io.publish_routes(&routes) {
+                if self.io.publish_routes(&routes, &self.log) {
                     self.core.set_routes(Arc::clone(&routes));
                     let version = routes.version();
                     self.core.peering.broadcast_presence(version, None, now_ms);
--- a/src/forward/driver_io.rs
+++ b/src/forward/driver_io.rs
@@ -20,7 +20,7 @@
 use super::{
     agent::target::Heartbeat,
     notices::{Notice, Outbox},
-    registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch},
+    registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch, record_era},
     route_fetch,
     settings::ForwardSettings,
     socket::{BindError, MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
@@ -103,6 +103,8 @@
     /// Event counters of the process.
     pub counters: Counters,
     is_ready: Arc<AtomicBool>,
+    /// The newest known era of the store, shared with the registrar.
+    era: SharedStoreEra,
     /// Route table served to other instances.
     routes_tx: watch::Sender<Arc<RouteTable>>,
     /// Whether this process has to watch the routes in the store itself.
@@ -149,11 +151,12 @@
         let (store_needed_tx, store_needed_rx) = watch::channel(false);
         let (lease_tx, lease_rx) = watch::channel(None);
         tokio::spawn(route_fetch::serve(listener, routes_rx, log.clone()));
+        let era = SharedStoreEra::new();
         let registrar = Registrar {
             store,
             document,
             local_instance: local_instance.clone(),
-            era: SharedStoreEra::new(),
+            era: era.clone(),
             update_tx: update_tx.clone(),
             counters: counters.clone(),
             log: log.clone(),
@@ -176,6 +179,7 @@
             updates,
             counters,
             is_ready,
+            era,
             routes_tx,
             store_needed_tx,
             lease_rx,
@@ -199,8 +203,10 @@
         });
     }
 
-    /// Makes a newer route table available to other instances. Returns whether it was newer.
-    pub fn publish_routes(&self, routes: &Arc<RouteTable>) -> bool {
+    /// Makes a newer route table available to other instances. Returns whether it was newer. Its
+    /// era may show a restore of the store that this process has not noticed yet.
+    pub fn publish_routes(&self, routes: &Arc<RouteTable>, log: &Logger) -> bool {
+        record_era(&self.era, routes.version().era, &self.counters, log);
         self.routes_tx.send_if_modified(|current| {
             let is_newer = routes.version() > current.version();
             if is_newer {
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -317,15 +317,6 @@
         let _ = self.era.subscribe().wait_for(|known| *known > era).await;
     }
 
-    /// Logs and counts that the store has been restored from an older copy.
-    fn note_era(&self, era: StoreEra) {
-        if let Some(previous) = self.era.advance(era) {
-            self.counters.count(Event::StoreRestored);
-            warn!(self.log, "store restored from an older copy"; "era" => era.0,
-                "previous_era" => previous.0);
-        }
-    }
-
     async fn send(&self, update: ClusterUpdate) {
         // The receiver is closed only while the process exits.
         let _ = self.update_tx.send(update).await;
@@ -340,7 +331,7 @@
         let result = call.await;
         match &result {
             Ok(reply) => {
-                self.note_era(reply.era);
+                record_era(&self.era, reply.era, &self.counters, &self.log);
                 self.send(ClusterUpdate::StoreReached).await;
             }
             Err(_) => self.counters.count(Event::StoreCallFailed),
@@ -349,6 +340,16 @@
     }
 }
 
+/// Records the era of a response or of a route table. Logs and counts that the store has been
+/// restored from an older copy.
+pub(super) fn record_era(known: &SharedStoreEra, era: StoreEra, counters: &Counters, log: &Logger) {
+    if let Some(previous) = known.advance(era) {
+        counters.count(Event::StoreRestored);
+        warn!(log, "store restored from an older copy"; "era" => era.0,
+            "previous_era" => previous.0);
+    }
+}
+
 /// Logs when the store becomes unreachable and when it is reachable again, once each.
 #[derive(Debug)]
 struct StoreConnectivity {
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -27,6 +27,8 @@
 use simulation::{ACK, RST, SYN, datagram, service_address};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which a change of the configuration is in force everywhere (docs/CAPACITY.md).
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
 const PACKET_PORT: u16 = 8_172;
 const READY_PORT: u16 = 8_167;
 const CONTROL_PORT: u16 = 8_166;
@@ -607,6 +609,30 @@
     cluster.send_until_response(1, 1_001, OPEN, SYN | ACK);
 }
 
+// An agent calls the store only every 10 s, to renew its lease.
+#[test]
+fn an_agent_learns_from_balancers_that_the_store_was_restored() {
+    let cluster = Cluster::new();
+    cluster.store.lock().unwrap().era = 1;
+    let _balancer = cluster.start("balancer", 1);
+    let agent = cluster.start("agent", 11);
+    cluster.start_target(11);
+    Cluster::wait_for("readiness", || cluster.is_ready(1));
+    Cluster::wait_for("the registration", || {
+        agent.has_log_line("registered in the store")
+    });
+    let restored_at = Instant::now();
+    cluster.store.lock().unwrap().era = 2;
+    set_routes(&cluster.store, 1);
+    let renewals = || {
+        let lines = agent.log_lines().into_iter();
+        let listings = lines.filter(|line| line["msg"] == "instances read from the store");
+        listings.filter(|line| line["era"] == 2).count()
+    };
+    Cluster::wait_for("the renewal of the lease", || renewals() > 0);
+    assert!(restored_at.elapsed() < IN_FORCE_WITHIN);
+}
+
 #[test]
 fn help_and_command_line_errors() {
     let run = |arguments: &[&str]| {
