Write policy changes that the store has lost to it again

Operators would see: a change that was confirmed is in force on running balancers and missing on those that start; a version that was confirmed twice is one policy on some balancers and another on others, for good (SharedPolicy keeps what it holds unless the number is higher). Cause: the watcher took the stored policy for the truth or for old news, by its number alone. After a restore it is neither: the store has lost a confirmed change, and the balancers that hold it have the only copies. Class: as for the routes, a number that is comparable only within one era. This store has no era, so the change identifiers in the history tell whether one policy contains another. Fix: a watcher whose policy the store has lost writes it again with compare-and-swap; if the store has accepted other changes in its place, these stay in force under a version above both. Versions are thus never assigned twice, and comparing numbers stays enough everywhere else. The decision is pure (control/recovery.rs); the change identifiers that were replaced are in the history and the log.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod peers;
 pub mod policy;
 pub mod policy_sync;
+pub mod recovery;
 pub mod rpc_client;
 pub mod rpc_server;
 pub mod shared_policy;
--- a/src/control/watcher.rs
+++ b/src/control/watcher.rs
@@ -9,12 +9,13 @@
 use super::{
     backoff::Backoff,
     commit::policy_or_initial,
+    policy, recovery,
     shared_policy::SharedPolicy,
-    store::{Revision, Store, StoreError, VersionedValue},
+    store::{Revision, Store, StoreError, SwapOutcome, VersionedValue},
     store_contact::StoreContact,
 };
 use crate::{
-    clock::Clock,
+    clock::{Clock, unix_ms},
     observe::counters::{Counters, Event},
 };
 
@@ -94,6 +95,7 @@
             .track_call(self.store.get(&self.config.policy_key))
             .await?;
         let last_seen = self.update_policy(&stored);
+        self.recover_lost_changes(&stored).await?;
         let Some(lease) = self.acquire_watcher_lease().await? else {
             return Ok(());
         };
@@ -140,9 +142,34 @@
                 .track_call(self.store.watch(&self.config.policy_key, last_seen))
                 .await?;
             last_seen = self.update_policy(&stored);
+            self.recover_lost_changes(&stored).await?;
         }
     }
 
+    /// Writes to the store what it has lost of the policy of this process. Another write in between
+    /// makes this one fail; the next watch returns its result.
+    async fn recover_lost_changes(&self, stored: &VersionedValue) -> Result<(), StoreError> {
+        let local = self.policy.current();
+        let Some(stored_policy) = policy_or_initial(stored) else {
+            return Ok(());
+        };
+        let Some(next) = recovery::policy_to_write(&local, &stored_policy, unix_ms()) else {
+            return Ok(());
+        };
+        let value = policy::encode(&next);
+        let key = &self.config.policy_key;
+        let write = self.store.compare_and_swap(key, &value, stored.revision);
+        let outcome = self.track_call(write).await?;
+        warn!(self.log, "store has lost policy changes"; "version" => local.version,
+            "stored_version" => stored_policy.version, "written_version" => next.version,
+            "change_id" => &next.change_id, "is_written" => outcome == SwapOutcome::Swapped);
+        if outcome == SwapOutcome::Swapped {
+            self.counters.count(Event::PolicyRecovered);
+            self.policy.update_if_newer(next);
+        }
+        Ok(())
+    }
+
     /// Counts a store call and, if it succeeds, records the contact.
     async fn track_call<T>(
         &self,
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -72,6 +72,8 @@
     IgnoredReport => "ignored_report",
     /// The store came back from an older copy of its contents.
     StoreRestored => "store_restored",
+    /// A policy that the store had lost was written to it again.
+    PolicyRecovered => "policy_recovered",
     /// A call to the store failed.
     StoreCallFailed => "store_call_failed",
     /// A packet of a lost flow was answered with a reset.
