Do not confirm a policy version a second time after a restore

Operators would see: the store has lost version 2, which was confirmed; the next change, based on it, is refused as a conflict with version 1, or a change based on version 1 is confirmed as another version 2 before a watcher has noticed. Cause: a commit numbers the next version from the stored policy alone, though the balancer that commits it holds a newer one. Fix: the commit is based on what the store should contain (the same decision as the watcher's), and the lost changes are written together with the new one in one compare-and-swap. A repeated request whose change the store has lost is confirmed only once it is stored again. Evidence: a_version_that_a_restore_lost_is_not_confirmed_a_second_time fails without it (Conflict with version 1) and passes. Left: a balancer that has never seen the lost version can still commit another one in its place; the watcher then puts the later one above both.

--- a/src/admin/balancer_api.rs
+++ b/src/admin/balancer_api.rs
@@ -165,8 +165,10 @@
         return reply_response(ChangeReply::Unavailable { reason });
     };
     let initial = initial_policy(&api.policy);
+    let known = api.policy.current();
     let context = CommitContext {
         initial: &initial,
+        known: &known,
         changed_at_ms: unix_ms(),
     };
     let outcome = commit::commit(store, key, &request, &context).await;
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -4,6 +4,7 @@
 
 use super::{
     policy::{self, ChangeError},
+    recovery,
     store::{Revision, Store, StoreError, SwapOutcome, VersionedValue},
 };
 use crate::proto::policy::{Change, ChangeRequest, Policy};
@@ -41,6 +42,8 @@
 pub struct CommitContext<'a> {
     /// Policy to change if the store contains none.
     pub initial: &'a Policy,
+    /// Newest policy that this process holds. The store may have lost it.
+    pub known: &'a Policy,
     /// Time of the change, in milliseconds since the Unix epoch.
     pub changed_at_ms: u64,
 }
@@ -126,10 +129,19 @@
         let error = StoreError::Unexpected { reason };
         return Action::Return(CommitOutcome::Unavailable(error));
     };
+    let recovered = recovery::policy_to_write(context.known, &current, context.changed_at_ms);
+    let is_recovered = recovered.is_some();
+    let current = recovered.unwrap_or(current);
     let already_applied = current
         .history
         .iter()
         .any(|entry| entry.change_id == request.change_id);
+    if already_applied && is_recovered {
+        return Action::Write {
+            next: Box::new(current),
+            revision: stored.revision,
+        };
+    }
     if already_applied {
         return Action::Return(CommitOutcome::Accepted(Box::new(current)));
     }
--- a/src/quickstart/deployment.rs
+++ b/src/quickstart/deployment.rs
@@ -209,6 +209,7 @@
         let initial = policy::initial();
         let context = CommitContext {
             initial: &initial,
+            known: &initial,
             changed_at_ms: unix_ms(),
         };
         commit::commit(&self.store, POLICY_KEY, &request, &context).await
@@ -321,6 +322,7 @@
     let initial = policy::initial();
     let context = CommitContext {
         initial: &initial,
+        known: &initial,
         changed_at_ms: unix_ms(),
     };
     match commit::commit(store, POLICY_KEY, &request, &context).await {
--- a/tests/commit.rs
+++ b/tests/commit.rs
@@ -151,6 +151,7 @@
 fn commit_context(initial: &Policy) -> CommitContext<'_> {
     CommitContext {
         initial,
+        known: initial,
         changed_at_ms: 1,
     }
 }
--- a/tests/restored_policy.rs
+++ b/tests/restored_policy.rs
@@ -23,8 +23,19 @@
 /// A change is in force within seconds of its confirmation.
 const IN_FORCE_WITHIN_MS: u64 = 2_000;
 
-/// Commits a change of the defaults to `slots` and returns the new policy.
+/// Commits a change of the defaults to `slots` through a balancer that has just started.
 async fn commit_slots(store: &MemoryStore, base_version: u64, slots: u32) -> Policy {
+    commit_with_known(store, &policy::initial(), base_version, slots).await
+}
+
+/// Commits a change of the defaults to `slots` through a balancer that holds the policy `known`, and
+/// returns the new policy.
+async fn commit_with_known(
+    store: &MemoryStore,
+    known: &Policy,
+    base_version: u64,
+    slots: u32,
+) -> Policy {
     let request = ChangeRequest {
         change_id: format!("slots-{slots}"),
         operator: "operator".to_owned(),
@@ -37,6 +48,7 @@
     };
     let context = CommitContext {
         initial: &policy::initial(),
+        known,
         changed_at_ms: 1,
     };
     match commit::commit(store, KEY, &request, &context).await {
@@ -113,3 +125,33 @@
     assert_eq!(slots(&current), Some(11), "version {}", current.version);
     assert_eq!(*current, stored_policy(&store).await);
 }
+
+/// A store that has lost version 2, which is returned and was confirmed.
+async fn store_without_confirmed_version() -> (MemoryStore, Policy) {
+    let store = MemoryStore::new();
+    commit_slots(&store, 0, 7).await;
+    let copy = store.copy();
+    let confirmed = commit_slots(&store, 1, 9).await;
+    store.restore(copy);
+    (store, confirmed)
+}
+
+#[tokio::test]
+async fn a_version_that_a_restore_lost_is_not_confirmed_a_second_time() {
+    let (store, confirmed) = store_without_confirmed_version().await;
+    let next = commit_with_known(&store, &confirmed, 2, 11).await;
+    let versions = next.history.iter().map(|change| change.version);
+    let ids = next.history.iter().map(|change| &*change.change_id);
+    let changes: Vec<_> = versions.zip(ids).collect();
+    assert_eq!(changes, [(1, "slots-7"), (2, "slots-9"), (3, "slots-11")]);
+    assert_eq!(stored_policy(&store).await, next);
+}
+
+// The operator repeats the request to make sure of it.
+#[tokio::test]
+async fn a_repeated_change_that_a_restore_lost_is_confirmed_only_when_it_is_stored() {
+    let (store, confirmed) = store_without_confirmed_version().await;
+    let repeated = commit_with_known(&store, &confirmed, 1, 9).await;
+    assert_eq!(repeated, confirmed);
+    assert_eq!(stored_policy(&store).await, confirmed);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -612,7 +612,6 @@
                 }
                 if let Notice::Members(instances) = &mut notice {
                     let unlisted = &self.unlisted;
-                    let era = StoreEra(1);
                     instances.retain(|other| !unlisted.contains(&(other.control_address, to)));
                 }
                 if self.delayed.contains(&(from, to)) {
