Do not conclude absence from a list that is read soon after a restore of the store

Callers would see: an open flow is reset while its target serves. Cause (hypothesis C): the first list of a started agent counted as complete (members_known), in any era. Class: a negative concluded from a list of another era, as for agents that are away. Fix: how long ago the store was restored is not known to a process that starts, so if it ever was, an agent relies only on a list read 3 s after its start: by then all running instances have registered again (routes of the new era after at most 1 s, a random delay of at most 1 s, the calls). Instances read the list once more at that time. Until then searches through it stay incomplete, so after a loss of all power callers of lost flows may wait up to 3 s longer if the store was ever restored.

--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -15,11 +15,19 @@
 
 /// Counter that the store increments each time it comes back from an older copy of its contents.
 ///
-/// Revisions, leases and lists of entries are comparable only within one era. The era is 0 if the
-/// store reports none.
+/// Revisions, leases and lists of entries are comparable only within one era. It starts at 1, and
+/// is 0 if the store reports none.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StoreEra(pub u64);
 
+impl StoreEra {
+    /// Whether the store has been restored from a copy at any time.
+    #[must_use]
+    pub fn is_after_restore(self) -> bool {
+        self.0 > 1
+    }
+}
+
 /// Response of the store, together with the era in which it was given.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreReply<T> {
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -15,6 +15,7 @@
     target::{Heartbeat, HeartbeatOutcome, Target},
 };
 use crate::{
+    control::store::StoreEra,
     flow::{packet::PacketFormat, routes::RouteVersion, table::FlowTable},
     forward::{
         absence::{FlowAbsence, TargetAnswer},
@@ -22,7 +23,10 @@
         notices::Notice,
         peering::{MAX_LOAD_INTERVAL_MS, Peering},
     },
-    membership::instance::{Instance, InstanceRole, TargetLoad, TargetState},
+    membership::{
+        directory::REGISTERED_AGAIN_MS,
+        instance::{Instance, InstanceRole, TargetLoad, TargetState},
+    },
 };
 
 /// Time after startup during which other instances may still be undiscovered.
@@ -293,8 +297,12 @@
 
     /// Records that the full list of instances has been read from the store. Until then a failed
     /// search for a flow does not prove that no agent holds it.
-    pub fn set_members_known(&mut self) {
-        self.members_known = true;
+    ///
+    /// A list that is read soon after a restore lacks running instances. How long ago the store was
+    /// restored is not known, so an agent that starts relies only on a later list.
+    pub fn set_members_known(&mut self, era: StoreEra, now_ms: u64) {
+        let is_settled = self.peering.uptime_ms(now_ms) >= REGISTERED_AGAIN_MS;
+        self.members_known |= !era.is_after_restore() || is_settled;
     }
 
     /// Applies a heartbeat of the target. Returns `false` if it was stale and ignored.
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -246,7 +246,7 @@
         match update {
             ClusterUpdate::StoreReached => self.core.peering.record_store_contact(now_ms),
             ClusterUpdate::Instances(listing) => {
-                self.core.set_members_known();
+                self.core.set_members_known(listing.era, now_ms);
                 let version = self.core.route_version();
                 let load = self.core.load(now_ms);
                 let (peering, listed) = (&mut self.core.peering, listing.value.len());
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -18,7 +18,10 @@
     },
     control::store_era::SharedStoreEra,
     flow::routes::RouteTable,
-    membership::{directory::LEASE_TTL_MS, instance::Instance},
+    membership::{
+        directory::{LEASE_TTL_MS, REGISTERED_AGAIN_MS},
+        instance::Instance,
+    },
     observe::counters::{Counters, Event},
     proto::flow as wire,
 };
@@ -138,6 +141,11 @@
         connectivity.mark_reached(&self.log);
         backoff.reset();
         self.read_instances(false).await?;
+        if written.era.is_after_restore() {
+            // Other instances may still have to register again.
+            time::sleep(Duration::from_millis(REGISTERED_AGAIN_MS)).await;
+            self.read_instances(false).await?;
+        }
         let mut era = written.era;
         loop {
             let is_restored = self.wait_for_renewal(era).await;
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -24,6 +24,8 @@
 /// Silence after which an instance is removed; longer than a frozen process or a network partition
 /// is likely to last.
 const REMOVE_AFTER_MS: u64 = 30_000;
+/// Time after a restore of the store by which all running instances have registered again.
+pub const REGISTERED_AGAIN_MS: u64 = 3_000;
 /// Time to live of an instance's entry in the store without renewal. It outlasts the usual outages
 /// of a store.
 pub const LEASE_TTL_MS: u64 = 30_000;
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -455,3 +455,15 @@
     time::sleep(Duration::from_secs(2)).await;
     assert_eq!(store.state.lock().unwrap().instances.len(), 1);
 }
+
+// The first list of an instance that starts after a restore may lack others that are running.
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_starts_after_a_restore_reads_the_list_again_when_all_are_registered() {
+    let store = FakeStore::default();
+    store.restore(store.copy());
+    let (registrar, _receiver) = registrar(&store);
+    let (lease, _lease_receiver) = tokio::sync::watch::channel(None);
+    tokio::spawn(registrar.maintain_registration(lease));
+    time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(store.call_count("range"), 2);
+}
--- a/tests/reset_model.rs
+++ b/tests/reset_model.rs
@@ -1,5 +1,6 @@
-//! State machine of lookups, membership and route versions, run against the forwarding cores: no
-//! schedule of all kinds of events together resets an open flow that a live target holds.
+//! State machine of lookups, membership, route versions and restores of the store, run against the
+//! forwarding cores: no schedule of all kinds of events together resets an open flow that a live
+//! target holds.
 
 mod simulation;
 
@@ -50,6 +51,7 @@
             1 => agent.clone().prop_map(Event::Freeze),
             1 => (0..3_usize).prop_map(Event::ChangeRoutes),
             1 => agent.prop_map(Event::ReuseAddress),
+            1 => Just(Event::RestoreStore),
         ]
         .boxed()
     }
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -746,3 +746,25 @@
         check_schedule(targets, &schedule)?;
     }
 }
+
+// Agent 2 and the balancer start while the list of the restored store lacks the running agents.
+#[test]
+fn a_flow_is_not_reset_by_an_agent_that_starts_after_a_restore_of_the_store() {
+    let schedule = [
+        Event::Advance(500),
+        Event::Open(0),
+        Event::ReuseAddress(0),
+        Event::Advance(500),
+        Event::Open(0),
+        Event::Open(1),
+        Event::RestoreStore,
+        Event::RestartAgent(2),
+        Event::LoseNotices(0, 0),
+        Event::Open(0),
+        Event::Open(0),
+        Event::Open(0),
+        Event::RestartBalancer(0),
+        Event::Requests(0),
+    ];
+    check_schedule((6, 5, 20), &schedule).unwrap();
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -37,6 +37,8 @@
 pub const SYN: u8 = 2;
 pub const ACK: u8 = 8;
 pub const RST: u8 = 16;
+/// Time after which a running agent has registered again after a restore of the store.
+const REGISTERED_AGAIN_AFTER_MS: u64 = 1_100;
 const RETURNED: u8 = 64;
 const FLAGS_OFFSET: usize = 10;
 const PAD_OFFSET: usize = 11;
@@ -316,6 +318,11 @@
     /// Control addresses of instances and of the receivers that are told of them by neither the
     /// store nor other instances.
     pub unlisted: HashSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Era of the store.
+    era: u64,
+    /// Control addresses of the agents whose entries a restore of the store has lost, with the time
+    /// at which they are registered again.
+    lost_entries: HashMap<SocketAddrV4, u64>,
     /// Control addresses of senders and receivers between which notices are held back.
     delayed: HashSet<(SocketAddrV4, SocketAddrV4)>,
     /// Notices that are held back, with their senders and receivers.
@@ -376,6 +383,8 @@
             callers: HashMap::new(),
             lost_notices: HashSet::new(),
             unlisted: HashSet::new(),
+            era: 1,
+            lost_entries: HashMap::new(),
             delayed: HashSet::new(),
             held_notices: Vec::new(),
             routes: routes(1),
@@ -424,7 +433,7 @@
             local_target,
             self.now_ms,
         );
-        core.set_members_known();
+        core.set_members_known(StoreEra(self.era), self.now_ms);
         SimulatedAgent {
             core,
             target,
@@ -478,6 +487,7 @@
             self.agents[index].target_incarnation,
         );
         let agent = self.new_agent(host, self.now_ms, target);
+        self.lost_entries.remove(&agent.instance.control_address);
         self.agents[index] = SimulatedAgent {
             heartbeat_sequence,
             target_incarnation,
@@ -560,10 +570,15 @@
         let balancers = self.balancers.iter();
         instances.extend(balancers.map(|core| core.peering.local_instance().clone()));
         let unlisted = &self.unlisted;
-        let era = StoreEra(1);
+        let era = StoreEra(self.era);
+        let (lost, now_ms) = (&self.lost_entries, self.now_ms);
         let listing = |to: SocketAddrV4| -> Vec<_> {
             let listed = instances.iter();
             let listed = listed.filter(|i| !unlisted.contains(&(i.control_address, to)));
+            let listed = listed.filter(|i| {
+                let until_ms = lost.get(&i.control_address);
+                until_ms.is_none_or(|until_ms| now_ms >= *until_ms)
+            });
             listed.cloned().collect()
         };
         for core in &mut self.balancers {
@@ -576,6 +591,7 @@
             let load = agent.core.load(self.now_ms);
             let listing = listing(agent.instance.control_address);
             let version = agent.core.route_version();
+            agent.core.set_members_known(era, now_ms);
             let peering = &mut agent.core.peering;
             peering.handle_listing(
                 StoreReply::new(era, listing),
@@ -680,6 +696,22 @@
         agent.stays_registered = agent.core.stays_registered(self.now_ms);
     }
 
+    /// Restores the store from a copy without any agent's entry. Running agents register again; those
+    /// that are away do so when they return.
+    pub fn restore_store(&mut self) {
+        self.era += 1;
+        for agent in &self.agents {
+            let is_running = agent.is_up && !agent.is_frozen;
+            let until_ms = if is_running {
+                self.now_ms + REGISTERED_AGAIN_AFTER_MS
+            } else {
+                u64::MAX
+            };
+            let address = agent.instance.control_address;
+            self.lost_entries.insert(address, until_ms);
+        }
+    }
+
     /// Freezes an agent process, which is sent more messages meanwhile.
     pub fn freeze_agent(&mut self, index: usize) {
         self.agents[index].is_frozen = true;
@@ -689,6 +721,12 @@
     /// first, then packets.
     pub fn thaw_agent(&mut self, index: usize) {
         self.agents[index].is_frozen = false;
+        let lost = self
+            .lost_entries
+            .get_mut(&self.agents[index].instance.control_address);
+        if let Some(until_ms) = lost {
+            *until_ms = (*until_ms).min(self.now_ms + REGISTERED_AGAIN_AFTER_MS);
+        }
         let address = self.agents[index].instance.packet_address;
         let now_ms = self.now_ms;
         let mut unread = std::mem::take(&mut self.agents[index].unread);
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -35,6 +35,8 @@
     DelayNotices(usize, usize),
     /// New flows are sent to this choice of services.
     ChangeRoutes(usize),
+    /// The store comes back from a copy that lacks the entries of all agents.
+    RestoreStore,
     /// The target of an agent ends, and its address goes to a target of the other service.
     ReuseAddress(usize),
 }
@@ -59,7 +61,8 @@
             | Self::Requests(_)
             | Self::RestartBalancer(_)
             | Self::Advance(_)
-            | Self::ChangeRoutes(_) => self,
+            | Self::ChangeRoutes(_)
+            | Self::RestoreStore => self,
         }
     }
 }
@@ -226,6 +229,7 @@
                 };
                 sim.restart_target(index);
             }
+            Event::RestoreStore => sim.restore_store(),
             Event::RestartTarget(index) => sim.restart_target(index),
             Event::Drain(index) => sim.agents[index].is_draining ^= true,
             Event::Freeze(index) if sim.agents[index].is_frozen => sim.thaw_agent(index),
