--- a/tests/restored_policy.rs
+++ b/tests/restored_policy.rs
@@ -7,22 +7,36 @@
     clock::Clock,
     control::{
         commit::{self, CommitContext, CommitOutcome},
-        memory_store::MemoryStore,
-        policy,
+        memory_store::{MemoryStore, StoreCopy},
+        policy, recovery,
         shared_policy::SharedPolicy,
-        store::Store,
+        store::{Store, SwapOutcome},
         store_contact::StoreContact,
         watcher::{WatchConfig, Watcher},
     },
     observe::{counters::Counters, log::discard_logger},
     proto::policy::{ChangeRequest, Limits, Policy},
 };
+use proptest::{prelude::*, test_runner::RngSeed};
 use tokio::time;
 
 const KEY: &str = "policy";
 /// A change is in force within seconds of its confirmation.
 const IN_FORCE_WITHIN_MS: u64 = 2_000;
 
+fn slots_request(base_version: u64, slots: u32) -> ChangeRequest {
+    ChangeRequest {
+        change_id: format!("slots-{slots}"),
+        operator: "operator".to_owned(),
+        base_version,
+        set_defaults: Some(Limits {
+            slots: Some(slots),
+            ..Limits::default()
+        }),
+        ..ChangeRequest::default()
+    }
+}
+
 /// Commits a change of the defaults to `slots` through a balancer that has just started.
 async fn commit_slots(store: &MemoryStore, base_version: u64, slots: u32) -> Policy {
     commit_with_known(store, &policy::initial(), base_version, slots).await
@@ -36,16 +50,7 @@
     base_version: u64,
     slots: u32,
 ) -> Policy {
-    let request = ChangeRequest {
-        change_id: format!("slots-{slots}"),
-        operator: "operator".to_owned(),
-        base_version,
-        set_defaults: Some(Limits {
-            slots: Some(slots),
-            ..Limits::default()
-        }),
-        ..ChangeRequest::default()
-    };
+    let request = slots_request(base_version, slots);
     let context = CommitContext {
         initial: &policy::initial(),
         known,
@@ -155,3 +160,129 @@
     assert_eq!(repeated, confirmed);
     assert_eq!(stored_policy(&store).await, confirmed);
 }
+
+const BALANCERS: usize = 3;
+
+/// Configuration with the same cases in each run, unless the environment sets another seed.
+fn fixed_cases() -> ProptestConfig {
+    let config = ProptestConfig::default();
+    let rng_seed = match config.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(1),
+        fixed @ RngSeed::Fixed(_) => fixed,
+    };
+    ProptestConfig { rng_seed, ..config }
+}
+
+/// A step of a schedule; balancers are given by number.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A change is committed through a balancer, based on the policy that it holds.
+    Commit(usize),
+    /// A copy of the store is made.
+    Copy,
+    /// The store comes back from the last copy.
+    Restore,
+    /// A balancer reads the store and writes to it what it has lost.
+    Watch(usize),
+    /// The second balancer is sent the policy of the first.
+    Send(usize, usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let balancer = 0..BALANCERS;
+    let step = prop_oneof![
+        4 => balancer.clone().prop_map(Step::Commit),
+        1 => Just(Step::Copy),
+        1 => Just(Step::Restore),
+        2 => balancer.clone().prop_map(Step::Watch),
+        2 => (balancer.clone(), balancer).prop_map(|(from, to)| Step::Send(from, to)),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+/// Balancers and their store, which can be restored from a copy.
+struct Fleet {
+    store: MemoryStore,
+    copy: StoreCopy,
+    policies: Vec<SharedPolicy>,
+    commits: u32,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let store = MemoryStore::new();
+        Self {
+            copy: store.copy(),
+            store,
+            policies: (0..BALANCERS).map(|_| SharedPolicy::new()).collect(),
+            commits: 0,
+        }
+    }
+
+    async fn apply(&mut self, step: Step) {
+        match step {
+            Step::Commit(index) => self.commit(index).await,
+            Step::Copy => self.copy = self.store.copy(),
+            Step::Restore => self.store.restore(self.copy.clone()),
+            Step::Watch(index) => self.watch(index).await,
+            Step::Send(from, to) => {
+                let policy = (*self.policies[from].current()).clone();
+                self.policies[to].update_if_newer(policy);
+            }
+        }
+    }
+
+    async fn commit(&mut self, index: usize) {
+        self.commits += 1;
+        let known = self.policies[index].current();
+        let request = slots_request(known.version, 10 + self.commits);
+        let initial = policy::initial();
+        let context = CommitContext {
+            initial: &initial,
+            known: &known,
+            changed_at_ms: 1,
+        };
+        let outcome = commit::commit(&self.store, KEY, &request, &context).await;
+        if let CommitOutcome::Accepted(policy) = outcome {
+            self.policies[index].update_if_newer(*policy);
+        }
+    }
+
+    async fn watch(&self, index: usize) {
+        let stored = self.store.get(KEY).await.unwrap();
+        let policy = commit::policy_or_initial(&stored).unwrap();
+        self.policies[index].update_if_newer(policy.clone());
+        let local = self.policies[index].current();
+        if let Some(next) = recovery::policy_to_write(&local, &policy, 1) {
+            let value = policy::encode(&next);
+            let write = self.store.compare_and_swap(KEY, &value, stored.revision);
+            assert_eq!(write.await.unwrap(), SwapOutcome::Swapped);
+            self.policies[index].update_if_newer(next);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    // However changes and restores are mixed, all balancers end with the policy in the store.
+    #[test]
+    fn no_schedule_of_restores_leaves_balancers_with_different_policies(steps in steps()) {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+        let mut fleet = Fleet::new();
+        let mut versions = [0; BALANCERS];
+        // The second round of reads brings what the first one has written.
+        let reads = (0..2 * BALANCERS).map(|number| Step::Watch(number % BALANCERS));
+        for step in steps.into_iter().chain(reads) {
+            runtime.block_on(fleet.apply(step));
+            for (policy, version) in fleet.policies.iter().zip(&mut versions) {
+                prop_assert!(policy.version() >= *version);
+                *version = policy.version();
+            }
+        }
+        let stored = runtime.block_on(stored_policy(&fleet.store));
+        for policy in &fleet.policies {
+            prop_assert_eq!(&*policy.current(), &stored);
+        }
+    }
+}
