Look for a successor's address only when an instance would be added

The scan over the members ran for each listed instance, also for those known already: O(n) an entry, so O(n^2) a list. It now runs after the checks that end most calls. The three conditions are the same and each returns None, so nothing else changes; the tests of restored_store, resets, reset_gaps and ownership pass.

--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -276,24 +276,28 @@
     /// under its name nor at its address: the entry of an instance that has left may return when the
     /// store is restored from a copy.
     pub fn add_unconfirmed(&mut self, instance: Instance, now_ms: u64) -> Option<MemberChange> {
+        if instance.name == self.local_name {
+            return None;
+        }
+        let found = self.find(&instance.name);
+        if let Ok(index) = found {
+            let member = &self.members[index];
+            let is_same = member.instance.incarnation == instance.incarnation;
+            if is_same || member.is_alive(now_ms) {
+                return None;
+            }
+        }
         let is_successor = |member: &Member| {
             member.instance.control_address == instance.control_address
                 && member.instance.name != instance.name
                 && member.is_confirmed
                 && member.is_alive(now_ms)
         };
-        if instance.name == self.local_name || self.members.iter().any(is_successor) {
+        if self.members.iter().any(is_successor) {
             return None;
         }
-        match self.find(&instance.name) {
-            Ok(index) => {
-                let member = &mut self.members[index];
-                let is_same = member.instance.incarnation == instance.incarnation;
-                if is_same || member.is_alive(now_ms) {
-                    return None;
-                }
-                member.replace(instance, now_ms);
-            }
+        match found {
+            Ok(index) => self.members[index].replace(instance, now_ms),
             Err(index) => self.members.insert(index, Member::new(instance, now_ms)),
         }
         self.generation += 1;
