Decode the stored policy once for each answer of a watch

Updating the local policy and recovering lost changes each decoded and validated the stored policy. One function now does both steps with one decoded policy; log lines and calls are the same.

--- a/src/control/watcher.rs
+++ b/src/control/watcher.rs
@@ -17,6 +17,7 @@
 use crate::{
     clock::{Clock, unix_ms},
     observe::counters::{Counters, Event},
+    proto::policy::Policy,
 };
 
 /// Bounds of the delay after a failed call, in milliseconds.
@@ -94,8 +95,7 @@
         let stored = self
             .track_call(self.store.get(&self.config.policy_key))
             .await?;
-        let last_seen = self.update_policy(&stored);
-        self.recover_lost_changes(&stored).await?;
+        let last_seen = self.reconcile(&stored).await?;
         let Some(lease) = self.acquire_watcher_lease().await? else {
             return Ok(());
         };
@@ -141,27 +141,41 @@
             let stored = self
                 .track_call(self.store.watch(&self.config.policy_key, last_seen))
                 .await?;
-            last_seen = self.update_policy(&stored);
-            self.recover_lost_changes(&stored).await?;
+            last_seen = self.reconcile(&stored).await?;
         }
     }
 
+    /// Replaces the current policy if the stored one is newer, and writes to the store what it has
+    /// lost. Returns the revision to watch from.
+    async fn reconcile(&self, stored: &VersionedValue) -> Result<Revision, StoreError> {
+        let Some(policy) = policy_or_initial(stored) else {
+            warn!(self.log, "stored policy is invalid; ignoring it");
+            return Ok(stored.revision);
+        };
+        if self.policy.update_if_newer(policy.clone()) {
+            info!(self.log, "policy updated"; "version" => policy.version, "source" => "store");
+        }
+        self.recover_lost_changes(&policy, stored.revision).await?;
+        Ok(stored.revision)
+    }
+
     /// Writes to the store what it has lost of the policy of this process. Another write in between
     /// makes this one fail; the next watch returns its result.
-    async fn recover_lost_changes(&self, stored: &VersionedValue) -> Result<(), StoreError> {
+    async fn recover_lost_changes(
+        &self,
+        stored: &Policy,
+        revision: Revision,
+    ) -> Result<(), StoreError> {
         let local = self.policy.current();
-        let Some(stored_policy) = policy_or_initial(stored) else {
-            return Ok(());
-        };
-        let Some(next) = recovery::policy_to_write(&local, &stored_policy, unix_ms()) else {
+        let Some(next) = recovery::policy_to_write(&local, stored, unix_ms()) else {
             return Ok(());
         };
         let value = policy::encode(&next);
         let key = &self.config.policy_key;
-        let write = self.store.compare_and_swap(key, &value, stored.revision);
+        let write = self.store.compare_and_swap(key, &value, revision);
         let outcome = self.track_call(write).await?;
         warn!(self.log, "store has lost policy changes"; "version" => local.version,
-            "stored_version" => stored_policy.version, "written_version" => next.version,
+            "stored_version" => stored.version, "written_version" => next.version,
             "change_id" => &next.change_id, "is_written" => outcome == SwapOutcome::Swapped);
         if outcome == SwapOutcome::Swapped {
             self.counters.count(Event::PolicyRecovered);
@@ -182,20 +196,6 @@
         }
         result
     }
-
-    /// Replaces the current policy if the stored one is newer. Returns the revision to watch from.
-    fn update_policy(&self, stored: &VersionedValue) -> Revision {
-        match policy_or_initial(stored) {
-            Some(policy) => {
-                let version = policy.version;
-                if self.policy.update_if_newer(policy) {
-                    info!(self.log, "policy updated"; "version" => version, "source" => "store");
-                }
-            }
-            None => warn!(self.log, "stored policy is invalid; ignoring it"),
-        }
-        stored.revision
-    }
 }
 
 /// Sleeps for a random time of at most `max_ms` milliseconds.
