--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -242,15 +242,14 @@
     next.version = policy.version + 1;
     next.change_id.clone_from(&request.change_id);
     next.history.clone_from(&policy.history);
-    next.history.push(Change {
+    let change = Change {
         version: next.version,
         change_id: request.change_id.clone(),
         operator: request.operator.clone(),
         changed_at_ms,
         summary,
-    });
-    let excess = next.history.len().saturating_sub(MAX_HISTORY_LEN);
-    next.history.drain(..excess);
+    };
+    push_change(&mut next.history, change);
     let errors = validate(&next);
     if errors.is_empty() {
         Ok(next)
@@ -259,6 +258,13 @@
     }
 }
 
+/// Adds a change to a history and removes the oldest ones beyond [`MAX_HISTORY_LEN`].
+pub(super) fn push_change(history: &mut Vec<Change>, change: Change) {
+    history.push(change);
+    let excess = history.len().saturating_sub(MAX_HISTORY_LEN);
+    history.drain(..excess);
+}
+
 /// Returns the policy with the requested change and a summary for the history.
 fn build_change(policy: &Policy, request: &ChangeRequest) -> Result<(Policy, String), ChangeError> {
     let mut next = policy.clone();
--- a/src/control/recovery.rs
+++ b/src/control/recovery.rs
@@ -3,7 +3,7 @@
 //! A process that holds a lost policy has the only copy of it. Versions are never assigned twice, so
 //! that a process needs no other information to tell which of two policies is in force.
 
-use super::policy::MAX_HISTORY_LEN;
+use super::policy;
 use crate::proto::policy::{Change, Policy};
 
 /// Operator in the history of a version that replaces lost ones.
@@ -35,12 +35,12 @@
     Some(renumber(stored, local, now_unix_ms))
 }
 
-/// Whether the change that produced `older` is part of `policy`, as far as its history reaches.
-fn contains_change(policy: &Policy, older: &Policy) -> bool {
-    let oldest_version = policy.history.first().map_or(0, |change| change.version);
+/// Whether the change that produced `older` is part of `newer`, as far as its history reaches.
+fn contains_change(newer: &Policy, older: &Policy) -> bool {
+    let oldest_version = newer.history.first().map_or(0, |change| change.version);
     older.version < oldest_version
         || older.version == 0
-        || policy
+        || newer
             .history
             .iter()
             .any(|change| change.version == older.version && change.change_id == older.change_id)
@@ -56,15 +56,14 @@
         change_id: change_id.clone(),
         ..stored.clone()
     };
-    next.history.push(Change {
+    let change = Change {
         version,
         change_id,
         operator: RECOVERY_OPERATOR.to_owned(),
         changed_at_ms: now_unix_ms,
         summary: format!("the store was restored and lost changes {lost_changes}"),
-    });
-    let excess = next.history.len().saturating_sub(MAX_HISTORY_LEN);
-    next.history.drain(..excess);
+    };
+    policy::push_change(&mut next.history, change);
     next
 }
 
