Keep the contents of MemoryStore in the type that a copy has

StoreCopy repeated three fields of State and was copied field by field. State contains one now, so a copy is a clone and a restore an assignment.

--- a/src/control/memory_store.rs
+++ b/src/control/memory_store.rs
@@ -36,24 +36,22 @@
     ttl_ms: u64,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// Contents of a [`MemoryStore`] at one time.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     /// Sorted by key.
     entries: Vec<Entry>,
     /// May contain expired leases.
     leases: Vec<ActiveLease>,
     /// Last number assigned to a revision or a lease.
     last_revision: u64,
-    faults: StoreFaults,
-    call_count: u64,
 }
 
-/// Contents of a [`MemoryStore`] at one time.
-#[derive(Clone, Debug)]
-pub struct StoreCopy {
-    entries: Vec<Entry>,
-    leases: Vec<ActiveLease>,
-    last_revision: u64,
+#[derive(Debug, Default)]
+struct State {
+    contents: StoreCopy,
+    faults: StoreFaults,
+    call_count: u64,
 }
 
 /// A lease in a [`MemoryStore`].
@@ -104,23 +102,13 @@
     /// Copies the contents.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
-        let state = self.lock();
-        StoreCopy {
-            entries: state.entries.clone(),
-            leases: state.leases.clone(),
-            last_revision: state.last_revision,
-        }
+        self.lock().contents.clone()
     }
 
     /// Replaces the contents by those of an older copy. What was written since is lost, and its
     /// revisions are assigned again.
     pub fn restore(&self, copy: StoreCopy) {
-        {
-            let mut state = self.lock();
-            state.entries = copy.entries;
-            state.leases = copy.leases;
-            state.last_revision = copy.last_revision;
-        }
+        self.lock().contents = copy;
         self.write_counter.send_modify(|count| *count += 1);
     }
 
@@ -152,13 +140,13 @@
     }
 
     fn read(&self, key: &str) -> VersionedValue {
-        self.lock().read(key)
+        self.lock().contents.read(key)
     }
 
     fn swap(&self, key: &str, value: &[u8], expected: Revision) -> Result<SwapOutcome, StoreError> {
         let (outcome, lose_reply) = {
             let mut state = self.lock();
-            let outcome = state.swap(key, value, expected);
+            let outcome = state.contents.swap(key, value, expected);
             let lose_reply = state.faults.lost_write_replies > 0;
             state.faults.lost_write_replies = state.faults.lost_write_replies.saturating_sub(1);
             (outcome, lose_reply)
@@ -172,7 +160,7 @@
     }
 }
 
-impl State {
+impl StoreCopy {
     fn read(&self, key: &str) -> VersionedValue {
         let absent = VersionedValue {
             revision: Revision::ABSENT,
@@ -264,14 +252,14 @@
         ttl_ms: u64,
     ) -> Result<Option<MemoryLease>, StoreError> {
         self.begin_call().await?;
-        let mut state = self.lock();
-        state.drop_expired_leases();
-        if state.leases.iter().any(|lease| lease.key == key) {
+        let contents = &mut self.lock().contents;
+        contents.drop_expired_leases();
+        if contents.leases.iter().any(|lease| lease.key == key) {
             return Ok(None);
         }
-        state.last_revision += 1;
-        let id = state.last_revision;
-        state.leases.push(ActiveLease {
+        contents.last_revision += 1;
+        let id = contents.last_revision;
+        contents.leases.push(ActiveLease {
             key: key.to_owned(),
             id,
             expires_at: Instant::now() + Duration::from_millis(ttl_ms),
@@ -282,9 +270,9 @@
 
     async fn renew_lease(&self, lease: &MemoryLease) -> Result<bool, StoreError> {
         self.begin_call().await?;
-        let mut state = self.lock();
-        state.drop_expired_leases();
-        let held = state.leases.iter_mut().find(|held| held.id == lease.id);
+        let contents = &mut self.lock().contents;
+        contents.drop_expired_leases();
+        let held = contents.leases.iter_mut().find(|held| held.id == lease.id);
         if let Some(held) = held {
             held.expires_at = Instant::now() + Duration::from_millis(held.ttl_ms);
             return Ok(true);
@@ -294,7 +282,10 @@
 
     async fn release_lease(&self, lease: &MemoryLease) -> Result<(), StoreError> {
         self.begin_call().await?;
-        self.lock().leases.retain(|held| held.id != lease.id);
+        self.lock()
+            .contents
+            .leases
+            .retain(|held| held.id != lease.id);
         Ok(())
     }
 }
