--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -48,6 +48,18 @@
     StoreReply::new(StoreEra(era), instances.collect())
 }
 
+/// Sends a load report of `agent` at 200 ms and checks that it changes what is known of the agent.
+fn assert_load_report_is_applied(peering: &mut Peering, agent: &Instance) {
+    let load = TargetLoad {
+        state: TargetState::Ready,
+        running: 4,
+        ..TargetLoad::default()
+    };
+    peering.handle_load(agent.control_address, &load, 200);
+    let member = peering.directory.member(&agent.name).unwrap();
+    assert_eq!((member.load.running, member.last_heard_at_ms), (4, 200));
+}
+
 fn local_peering() -> Peering {
     Peering::new(agent("m-local", 1, 1), Vec::new(), 0)
 }
@@ -65,14 +77,7 @@
         0,
     );
     peering.handle_listing(listing(2, &[&left, &successor]), VERSION, None, 100);
-    let load = TargetLoad {
-        state: TargetState::Ready,
-        running: 4,
-        ..TargetLoad::default()
-    };
-    peering.handle_load(successor.control_address, &load, 200);
-    let member = peering.directory.member("b-successor").unwrap();
-    assert_eq!((member.load.running, member.last_heard_at_ms), (4, 200));
+    assert_load_report_is_applied(&mut peering, &successor);
 }
 
 // The same in the other order: the returned entry is read before its successor is heard.
@@ -88,14 +93,7 @@
         None,
         100,
     );
-    let load = TargetLoad {
-        state: TargetState::Ready,
-        running: 4,
-        ..TargetLoad::default()
-    };
-    peering.handle_load(successor.control_address, &load, 200);
-    let member = peering.directory.member("b-successor").unwrap();
-    assert_eq!((member.load.running, member.last_heard_at_ms), (4, 200));
+    assert_load_report_is_applied(&mut peering, &successor);
     let view = peering.directory.search_view(7, u64::MAX, 300);
     let awaited = view.awaited.map(|member| &*member.instance.name);
     assert_eq!(
