Log why a search leaves out an agent, and how many are left out

`flow search incomplete` had one reason, agent_silent, for an agent that is leaving, silent or only listed, so the log could not tell them apart.

The reasons are agent_leaving, agent_silent and agent_unconfirmed now, and `flow search ended` counts the agents that were left out.

--- a/src/forward/absence.rs
+++ b/src/forward/absence.rs
@@ -121,8 +121,9 @@
         return Some(SearchGap::TargetSilent);
     }
     if let Some(member) = view.awaited {
-        return Some(SearchGap::AgentSilent {
+        return Some(SearchGap::AgentLeftOut {
             agent: member.instance.name.clone(),
+            reason: member.await_reason(),
             silent_ms: member.silent_ms(now_ms),
         });
     }
--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -239,7 +239,7 @@
             now_ms,
         );
         let is_incomplete = hop.is_incomplete || gap.is_some();
-        let agents = view.agents;
+        let (agents, left_out_agents) = (view.agents, view.left_out);
         let absence = FlowAbsence::from_search(hop, &view, gap.as_ref());
         let next = view.next.map(|member| {
             let instance = &member.instance;
@@ -267,6 +267,7 @@
             lookup: hop.lookup,
             tried: hop.tried,
             agents,
+            left_out_agents,
             uptime_ms: self.peering.uptime_ms(now_ms),
             is_incomplete,
             is_reset: absence.is_some(),
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -10,7 +10,10 @@
         packet::{FlowKey, Lookup},
         routes::RouteVersion,
     },
-    membership::{directory::MemberChange, instance::TargetState},
+    membership::{
+        directory::{AwaitReason, MemberChange},
+        instance::TargetState,
+    },
     observe::{
         counters::{Counters, Event},
         log::RateLimit,
@@ -78,10 +81,12 @@
     /// The target of an agent that has just started neither returned the packet nor sent a
     /// heartbeat.
     TargetSilent,
-    /// An agent that may hold the flow is silent.
-    AgentSilent {
+    /// An agent that may hold the flow was not asked.
+    AgentLeftOut {
         /// Name of the agent.
         agent: Arc<str>,
+        /// Why it was not asked.
+        reason: AwaitReason,
         /// Time since the agent was last heard from, in milliseconds.
         silent_ms: u64,
     },
@@ -93,7 +98,11 @@
             Self::InstancesUnknown => "instances_unknown",
             Self::ViewsDiffer => "views_differ",
             Self::TargetSilent => "target_silent",
-            Self::AgentSilent { .. } => "agent_silent",
+            Self::AgentLeftOut { reason, .. } => match reason {
+                AwaitReason::Leaving => "agent_leaving",
+                AwaitReason::Silent => "agent_silent",
+                AwaitReason::Unconfirmed => "agent_unconfirmed",
+            },
         }
     }
 }
@@ -199,6 +208,8 @@
         tried: u8,
         /// Number of live agents that this agent knows, itself included.
         agents: usize,
+        /// Number of agents that may hold the flow and were not asked, as far as this agent knows.
+        left_out_agents: usize,
         /// Time since the start of this agent, in milliseconds.
         uptime_ms: u64,
         /// Whether an agent that may hold the flow was not reached.
@@ -387,7 +398,9 @@
         Decision::SearchIncomplete { flow, gap } => {
             let reason = gap.name();
             let (awaited, silent_ms) = match gap {
-                SearchGap::AgentSilent { agent, silent_ms } => (Some(agent), silent_ms),
+                SearchGap::AgentLeftOut {
+                    agent, silent_ms, ..
+                } => (Some(agent), silent_ms),
                 _ => (None, 0),
             };
             info!(log, "flow search incomplete"; "flow" => %flow, "reason" => reason,
@@ -399,11 +412,13 @@
             lookup,
             tried,
             agents,
+            left_out_agents,
             uptime_ms,
             is_incomplete,
             is_reset,
         } => info!(log, "flow search ended"; "flow" => %flow, "lookup" => ?lookup,
-            "tried" => tried, "agents" => agents, "uptime_ms" => uptime_ms,
+            "tried" => tried, "agents" => agents, "left_out_agents" => left_out_agents,
+            "uptime_ms" => uptime_ms,
             "is_incomplete" => is_incomplete, "is_reset" => is_reset, "left_out" => suppressed),
         Decision::TargetReset { flow, is_held } => info!(log, "flow reset by the target";
             "flow" => %flow, "is_held" => is_held, "left_out" => suppressed),
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -174,6 +174,18 @@
         !self.holds_no_flows() && (self.is_listed || silent_ms <= RECOVERY_TIMEOUT_MS)
     }
 
+    /// Why a search leaves out this agent, which is awaited.
+    #[must_use]
+    pub fn await_reason(&self) -> AwaitReason {
+        if !self.is_confirmed {
+            AwaitReason::Unconfirmed
+        } else if self.is_leaving {
+            AwaitReason::Leaving
+        } else {
+            AwaitReason::Silent
+        }
+    }
+
     /// Time since the last load report, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
@@ -187,6 +199,17 @@
     }
 }
 
+/// Why a search leaves out an agent that may return beside a target with flows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AwaitReason {
+    /// It has announced its exit.
+    Leaving,
+    /// It has been silent for too long.
+    Silent,
+    /// It is known only from the store or from another instance.
+    Unconfirmed,
+}
+
 /// Change of the known state of an instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MemberChange {
@@ -212,6 +235,8 @@
     pub agents: usize,
     /// A silent, leaving or unconfirmed agent that may still have flows.
     pub awaited: Option<&'a Member>,
+    /// Number of agents that are left out like `awaited`.
+    pub left_out: usize,
 }
 
 /// Known instances, sorted by name.
@@ -518,14 +543,16 @@
             digest: 0,
             agents: 0,
             awaited: None,
+            left_out: 0,
         };
         // The sum does not depend on the order in which agents were added.
         let mut digest = 0_u64;
         for member in &self.members {
             if !member.is_searched(now_ms) {
-                view.awaited = view
-                    .awaited
-                    .or(Some(member).filter(|m| m.is_awaited(now_ms)));
+                if member.is_awaited(now_ms) {
+                    view.awaited = view.awaited.or(Some(member));
+                    view.left_out += 1;
+                }
                 continue;
             }
             view.agents += 1;
