Ask agents that are leaving in a search, until their exit

Cause: Member::is_alive was false as soon as an exit was announced, and one answer served several questions. It decided which agents a search asks too. An agent forwards to its target for another second after the announcement, and it is the only one that does.

Change: is_alive says that an instance is heard, is_staying that it may also be given something (new flows, slots, owners to store, a place in the rotation), forwards that it carries packets. Every caller by its question: placement, slot requests, load receivers, registry agents, SYN copies, rotation, newer routes and contact with the store ask is_staying, as before. Searches, lists of members for a started instance and the protection of a member from older lists ask forwards. A presence message of a leaving instance no longer counts as its return, which made all agents register all their flows again every 200 ms. A balancer that knows only leaving agents asks one of them.

The path with QUIC does not have this cause: packets of a flow go to the agent named in their connection ID, whatever its state (is_eligible is asked for new flows only), and AgentDirectory::siblings lists agents that drain.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -446,6 +446,6 @@
     pub fn is_ready(&self, now_ms: u64) -> bool {
         let members = self.peering.directory.members().iter();
         let mut balancers = members.filter(|m| m.instance.role == InstanceRole::Balancer);
-        balancers.any(|member| member.is_alive(now_ms))
+        balancers.any(|member| member.is_staying(now_ms))
     }
 }
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -20,7 +20,7 @@
         settings::{ForwardSettings, TargetSettings},
         socket::{MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
     },
-    membership::instance::Instance,
+    membership::{directory::LEAVE_GRACE_MS, instance::Instance},
     observe::{
         counters::Event,
         metrics::{Metrics, RequestLabels},
@@ -33,8 +33,6 @@
 /// with a response are recorded.
 const ALL_CALLERS: &str = "all";
 const ANSWERED: &str = "answered";
-/// Time for which a stopping agent keeps forwarding packets that other instances still send to it.
-const LEAVE_GRACE_MS: u64 = 1_000;
 /// Time without a live balancer that reaches the store after which the agent watches the routes in
 /// the store itself.
 const STORE_SILENCE_MS: u64 = 2_000;
--- a/src/forward/agent/slot_requests.rs
+++ b/src/forward/agent/slot_requests.rs
@@ -74,7 +74,7 @@
         let siblings = directory.members().iter().filter(|member| {
             member.serves(service)
                 && member.load.state == TargetState::Ready
-                && member.is_alive(now_ms)
+                && member.is_staying(now_ms)
                 && !directory.is_local(member)
         });
         let addresses: Vec<_> = siblings.map(|m| m.instance.control_address).collect();
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -163,7 +163,7 @@
         let directory = &self.peering.directory;
         let previous = previous.and_then(|owner| directory.by_packet_address(owner));
         if let Some(previous) = previous
-            && previous.is_alive(now_ms)
+            && previous.is_staying(now_ms)
             && previous.silent_ms(now_ms) <= MAX_OWNER_SILENCE_MS
         {
             let owner = previous.instance.packet_address;
@@ -252,6 +252,9 @@
             }
             _ => first,
         };
+        // While all agents are leaving, none of them stores owners, but they still forward.
+        let registry_agent =
+            registry_agent.or_else(|| directory.search_view(hash, u64::MAX, now_ms).next);
         let Some(registry_agent) = registry_agent.filter(|_| has_route) else {
             let reason = Reason::FlowNotFound;
             self.peering
@@ -313,7 +316,7 @@
     pub fn accepts_packets(&self, now_ms: u64) -> bool {
         let members = self.peering.directory.members().iter();
         let mut ready = members.filter(|m| m.load.state == TargetState::Ready);
-        let knows_target = ready.any(|member| member.is_alive(now_ms));
+        let knows_target = ready.any(|member| member.is_staying(now_ms));
         self.routes.version().number > 0 && knows_target
             || self.peering.uptime_ms(now_ms) >= DISCOVERY_MS
     }
@@ -325,6 +328,6 @@
         let members = self.peering.directory.members();
         !self.peering.is_leaving()
             && self.routes.version().number > 0
-            && members.iter().any(|member| member.is_alive(now_ms))
+            && members.iter().any(|member| member.is_staying(now_ms))
     }
 }
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -73,7 +73,7 @@
     now_ms: u64,
 ) -> Vec<SocketAddrV4> {
     let candidates = directory.members().iter().filter(|member| {
-        wants_load(member, load) && member.is_alive(now_ms) && !directory.is_local(member)
+        wants_load(member, load) && member.is_staying(now_ms) && !directory.is_local(member)
     });
     let mut ranked: Vec<_> = candidates
         .map(|member| (directory.local_weight(member.name_hash()), member))
@@ -333,7 +333,7 @@
         }
         self.directory.set_listed(names, era, now_ms);
         let members = self.directory.members().iter();
-        let live = members.filter(|m| m.is_confirmed && m.is_alive(now_ms) && !m.is_listed);
+        let live = members.filter(|m| m.is_confirmed && m.is_staying(now_ms) && !m.is_listed);
         live.filter(|m| !self.directory.is_local(m)).count()
     }
 
@@ -383,7 +383,7 @@
         }
         if wants_members {
             let members = self.directory.members().iter();
-            let live = members.filter(|m| m.is_confirmed && m.is_alive(now_ms));
+            let live = members.filter(|m| m.is_confirmed && m.forwards(now_ms));
             let instances: Vec<_> = live.map(|member| member.instance.clone()).collect();
             self.outbox.push_members(address, &instances);
         }
@@ -427,7 +427,7 @@
     ) -> Option<(SocketAddrV4, RouteVersion)> {
         let members = self.directory.members().iter();
         members
-            .filter(|m| m.is_alive(now_ms) && m.route_version > version)
+            .filter(|m| m.is_staying(now_ms) && m.route_version > version)
             .max_by_key(|member| member.route_version)
             .map(|member| (member.instance.control_address, member.route_version))
     }
@@ -441,7 +441,7 @@
                 .reached_store_at_ms
                 .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < STORE_CONTACT_TTL_MS)
                 && member.instance.role == InstanceRole::Balancer
-                && member.is_alive(now_ms)
+                && member.is_staying(now_ms)
         })
     }
 }
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -24,6 +24,11 @@
 /// Silence after which an instance is removed; longer than a frozen process or a network partition
 /// is likely to last.
 const REMOVE_AFTER_MS: u64 = 30_000;
+/// Time for which an agent forwards packets after it has announced its exit.
+pub const LEAVE_GRACE_MS: u64 = 1_000;
+/// Time for which a search asks an agent that has announced its exit. The margin keeps packets from
+/// arriving after the exit.
+const SEARCHED_WHILE_LEAVING_MS: u64 = LEAVE_GRACE_MS - 100;
 /// Time after a restore of the store by which all running instances have registered again.
 pub const REGISTERED_AGAIN_MS: u64 = 3_000;
 /// Time to live of an instance's entry in the store without renewal. It outlasts the usual outages
@@ -63,8 +68,8 @@
     pub is_listed: bool,
     /// The last list with the instance; `None` if there was none.
     last_listing: Option<Listing>,
-    /// Whether the instance has announced that it is about to exit.
-    pub is_leaving: bool,
+    /// Time at which the instance first announced that it is about to exit; `None` if it has not.
+    leaving_since_ms: Option<u64>,
     /// Whether the instance's target was draining according to the last report of an earlier
     /// incarnation of the instance.
     pub was_draining: bool,
@@ -95,7 +100,7 @@
             is_confirmed: false,
             is_listed: false,
             last_listing: None,
-            is_leaving: false,
+            leaving_since_ms: None,
             was_draining: false,
             route_version: RouteVersion::default(),
             is_in_rotation: false,
@@ -123,7 +128,7 @@
         };
     }
 
-    /// Whether the instance is considered alive.
+    /// Whether the instance is considered alive, which it is until its exit.
     #[must_use]
     pub fn is_alive(&self, now_ms: u64) -> bool {
         let timeout_ms = if self.is_confirmed {
@@ -131,7 +136,31 @@
         } else {
             UNCONFIRMED_ALIVE_MS
         };
-        !self.is_leaving && now_ms.saturating_sub(self.last_heard_at_ms) < timeout_ms
+        now_ms.saturating_sub(self.last_heard_at_ms) < timeout_ms
+    }
+
+    /// Whether the instance has announced that it is about to exit.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since_ms.is_some()
+    }
+
+    /// Whether the instance is alive and has not announced its exit, so that it may be given flows,
+    /// slots or owners to store.
+    #[must_use]
+    pub fn is_staying(&self, now_ms: u64) -> bool {
+        !self.is_leaving() && self.is_alive(now_ms)
+    }
+
+    /// Whether the instance is alive and forwards packets. An agent that has announced its exit
+    /// still does for a while, and nobody else reaches its target.
+    #[must_use]
+    pub fn forwards(&self, now_ms: u64) -> bool {
+        let has_exited = self.leaving_since_ms.is_some_and(|since_ms| {
+            self.instance.role == InstanceRole::Agent
+                && now_ms.saturating_sub(since_ms) >= SEARCHED_WHILE_LEAVING_MS
+        });
+        !has_exited && self.is_alive(now_ms)
     }
 
     /// Hash of the instance's name.
@@ -155,7 +184,7 @@
 
     /// Whether a search for a flow asks this agent. An unconfirmed one may not be running.
     fn is_searched(&self, now_ms: u64) -> bool {
-        self.instance.role == InstanceRole::Agent && self.is_confirmed && self.is_alive(now_ms)
+        self.instance.role == InstanceRole::Agent && self.is_confirmed && self.forwards(now_ms)
     }
 
     /// Whether this agent, which cannot be asked, may return beside a target that holds flows.
@@ -179,7 +208,7 @@
     pub fn await_reason(&self) -> AwaitReason {
         if !self.is_confirmed {
             AwaitReason::Unconfirmed
-        } else if self.is_leaving {
+        } else if self.is_leaving() {
             AwaitReason::Leaving
         } else {
             AwaitReason::Silent
@@ -225,7 +254,7 @@
 /// it.
 #[derive(Clone, Copy, Debug)]
 pub struct SearchView<'a> {
-    /// The live agent with the highest rendezvous weight below the given one.
+    /// The live agent, which may be leaving, with the highest rendezvous weight below the given one.
     pub next: Option<&'a Member>,
     /// Rendezvous weight of `next`; 0 if there is none.
     pub next_weight: u64,
@@ -233,7 +262,7 @@
     pub digest: u32,
     /// Number of live agents.
     pub agents: usize,
-    /// A silent, leaving or unconfirmed agent that may still have flows.
+    /// An agent that may still have flows and is silent, unconfirmed or past its announced exit.
     pub awaited: Option<&'a Member>,
     /// Number of agents that are left out like `awaited`.
     pub left_out: usize,
@@ -308,7 +337,7 @@
         if let Ok(index) = found {
             let member = &self.members[index];
             let is_same = member.instance.incarnation == instance.incarnation;
-            if is_same || member.is_alive(now_ms) {
+            if is_same || member.forwards(now_ms) {
                 return None;
             }
         }
@@ -316,7 +345,7 @@
             member.instance.control_address == instance.control_address
                 && member.instance.name != instance.name
                 && member.is_confirmed
-                && member.is_alive(now_ms)
+                && member.forwards(now_ms)
         };
         if self.members.iter().any(is_successor) {
             return None;
@@ -381,10 +410,11 @@
         if presence.reaches_store {
             member.reached_store_at_ms = Some(now_ms);
         }
-        if presence.is_leaving && !member.is_leaving {
+        if presence.is_leaving && !member.is_leaving() {
             change = Some(MemberChange::Leaving);
         }
-        member.is_leaving = presence.is_leaving;
+        let is_leaving = presence.is_leaving;
+        member.leaving_since_ms = is_leaving.then(|| member.leaving_since_ms.unwrap_or(now_ms));
         if !was_alive || change.is_some() {
             self.generation += 1;
         }
@@ -404,7 +434,7 @@
         self.members.retain(|member| {
             member.instance.control_address != instance.control_address
                 || member.instance.name == instance.name
-                || member.is_confirmed && member.is_alive(now_ms)
+                || member.is_confirmed && member.is_staying(now_ms)
         });
         if self.members.len() < len {
             self.generation += 1;
@@ -494,7 +524,7 @@
             let silent_ms = member.silent_ms(now_ms);
             let is_agent = member.instance.role == InstanceRole::Agent;
             let may_hold_flows = is_agent && !member.holds_no_flows();
-            let has_left = member.is_leaving && !may_hold_flows && silent_ms > RESTART_GRACE_MS;
+            let has_left = member.is_leaving() && !may_hold_flows && silent_ms > RESTART_GRACE_MS;
             member.is_listed || silent_ms < REMOVE_AFTER_MS && !has_left
         };
         let removed = self.members.iter().filter(|member| !is_kept(member));
@@ -518,7 +548,9 @@
         for _ in 0..=rank {
             let members = self.members.iter();
             let registry_agents = members.filter(|member| {
-                member.is_searched(now_ms) && member.load.state != TargetState::Absent
+                member.is_searched(now_ms)
+                    && !member.is_leaving()
+                    && member.load.state != TargetState::Absent
             });
             let (weight, member) = registry_agents
                 .map(|member| (weight(flow_hash, member.name_hash), member))
@@ -582,7 +614,7 @@
         let (mut others, mut in_rotation) = (0, 0);
         for member in members {
             others += 1;
-            in_rotation += usize::from(member.is_in_rotation && member.is_alive(now_ms));
+            in_rotation += usize::from(member.is_in_rotation && member.is_staying(now_ms));
         }
         others == 0 || in_rotation * 2 > others
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -118,7 +118,7 @@
     let accepts_flows = |member: &&Member| {
         member.serves(request.service)
             && member.load.state == TargetState::Ready
-            && member.is_alive(request.now_ms)
+            && member.is_staying(request.now_ms)
             && request.excluded != Some(&*member.instance.name)
     };
     let median_us = median_service_time_us(directory, request.service);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -23,6 +23,7 @@
         notices::Notice,
     },
     membership::{
+        directory::LEAVE_GRACE_MS,
         instance::{Instance, InstanceRole},
         rendezvous::{flow_hash, name_hash, weight},
     },
@@ -259,6 +260,8 @@
     /// Whether the agent process is running. All packets and notices to and from a stopped agent
     /// are lost.
     pub is_up: bool,
+    /// Time at which the agent process exits, which has announced that; `None` if it has not.
+    exits_at_ms: Option<u64>,
     /// Whether the store lists the agent although its process is stopped.
     stays_registered: bool,
     /// Whether the agent process is frozen: it reads what it is sent only afterwards.
@@ -438,6 +441,7 @@
             core,
             target,
             is_up: true,
+            exits_at_ms: None,
             stays_registered: false,
             is_frozen: false,
             unread: Vec::new(),
@@ -537,6 +541,12 @@
             }
             self.now_ms += self.tick_ms;
             let now_ms = self.now_ms;
+            for index in 0..self.agents.len() {
+                let agent = &self.agents[index];
+                if agent.is_up && agent.exits_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                    self.exit_agent(index);
+                }
+            }
             if now_ms % TICK_MS < self.tick_ms {
                 self.add_registered_instances();
             }
@@ -684,13 +694,26 @@
         order
     }
 
-    /// Stops an agent that announces its exit, while its target keeps running.
+    /// Stops an agent at once after it has announced its exit, while its target keeps running.
     pub fn leave_agent(&mut self, index: usize) {
+        self.stop_agent(index);
+        self.exit_agent(index);
+    }
+
+    /// Lets an agent announce its exit, after which it forwards for `LEAVE_GRACE_MS`.
+    pub fn stop_agent(&mut self, index: usize) {
         let agent = &mut self.agents[index];
+        if agent.exits_at_ms.is_some() {
+            return;
+        }
+        agent.exits_at_ms = Some(self.now_ms + LEAVE_GRACE_MS);
         let load = Some(agent.core.load(self.now_ms));
         let version = agent.core.route_version();
         agent.core.peering.leave(version, load, self.now_ms);
         self.deliver_notices();
+    }
+
+    fn exit_agent(&mut self, index: usize) {
         let agent = &mut self.agents[index];
         agent.is_up = false;
         agent.stays_registered = agent.core.stays_registered(self.now_ms);
