Recover the flows of an agent that restarts from its registry agents

Cause: three processes know the owner of an idle flow, its own agent and two registry agents. An agent that starts knows none of its target's idle flows, so it never registers them again; once both registry agents have restarted too, nobody knows the owner, and every packet of the flow is a search through all targets.

Change: when an agent starts, those that store flows of it return them (only those that it had registered with its last full registration; the rest has ended). It registers them again with the registry agents of that moment. An agent that exits hands over the owners of flows whose own agents are away. What is recovered in this way names the agent to ask first, and is no proof: a denial by that agent starts a search instead of a reset.

Cost for 2,000 idle flows of a target, by counting: 2 x 2,000 entries of 20 bytes from the registry agents and as much for the new registration, 160 kB or some 160 notices, once for each restart; 60 bytes of memory for each flow until it is idle for too long.

Tests, failed before (return and hand-over switched off): the_owner_of_an_idle_flow_is_known_after_all_agents_have_restarted, the_owner_of_an_idle_flow_is_known_after_its_registry_agents_exited_in_its_absence, an_ended_flow_is_not_returned_to_its_agent. Guard, failed when a recovered owner counted as registered: the_denial_of_an_agent_that_has_not_registered_a_flow_itself_does_not_reset_it.

--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -12,10 +12,23 @@
 struct Entry {
     /// Packet address of the agent that owns the flow.
     owner: SocketAddrV4,
+    /// Time of the last insertion.
+    inserted_at_ms: u64,
     /// Time of the last insertion or lookup.
     last_used_at_ms: u64,
 }
 
+/// A flow with its owner, as a table holds them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OwnedFlow {
+    /// The flow.
+    pub flow: FlowKey,
+    /// Packet address of the agent that owns the flow.
+    pub owner: SocketAddrV4,
+    /// Time at which the owner was last inserted.
+    pub inserted_at_ms: u64,
+}
+
 /// Table of flow owners.
 ///
 /// This is a hash table because a balancer adds thousands of flows per second, and each insertion
@@ -59,6 +72,7 @@
         }
         let entry = Entry {
             owner,
+            inserted_at_ms: now_ms,
             last_used_at_ms: now_ms,
         };
         self.entries.insert(flow, entry);
@@ -75,6 +89,21 @@
             .retain(|_, entry| now_ms.saturating_sub(entry.last_used_at_ms) < idle_ms);
     }
 
+    /// Whether the table has an owner of a flow.
+    #[must_use]
+    pub fn contains(&self, flow: FlowKey) -> bool {
+        self.entries.contains_key(&flow)
+    }
+
+    /// All flows with their owners, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = OwnedFlow> + '_ {
+        self.entries.iter().map(|(&flow, entry)| OwnedFlow {
+            flow,
+            owner: entry.owner,
+            inserted_at_ms: entry.inserted_at_ms,
+        })
+    }
+
     /// Number of flows.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -20,11 +20,11 @@
     forward::{
         absence::{FlowAbsence, TargetAnswer},
         decision::Decision,
-        notices::Notice,
+        notices::{Notice, OwnerEvidence},
         peering::{MAX_LOAD_INTERVAL_MS, Peering},
     },
     membership::{
-        directory::REGISTERED_AGAIN_MS,
+        directory::{MemberChange, REGISTERED_AGAIN_MS},
         instance::{Instance, InstanceRole, TargetLoad, TargetState},
     },
 };
@@ -67,6 +67,11 @@
     pub(super) flows: AgentFlows,
     /// Owners of the flows for which this agent is a registry agent, as registered by themselves.
     pub(super) flow_owners: FlowTable,
+    /// Owners of flows according to others, or to incarnations of the owners that have exited.
+    pub(super) recovered_owners: FlowTable,
+    /// Flows that an earlier incarnation of this agent has registered and that the target may still
+    /// hold.
+    pub(super) recovered_flows: FlowTable,
     /// Agents that SYNs were redirected to.
     pub(super) redirects: FlowTable,
     /// Whether the full list of instances has been read from the store.
@@ -113,6 +118,8 @@
             format,
             flows: AgentFlows::new(),
             flow_owners: FlowTable::new(),
+            recovered_owners: FlowTable::new(),
+            recovered_flows: FlowTable::new(),
             redirects: FlowTable::new(),
             members_known: false,
             route_version: RouteVersion::default(),
@@ -245,7 +252,7 @@
                     });
                 }
                 if completes_handshake {
-                    self.register_flow(flow, now_ms);
+                    self.register_flow(flow, OwnerEvidence::Registered, now_ms);
                 }
                 self.notify_entry_balancer(flow, hop);
                 AgentVerdict::Target
@@ -270,13 +277,15 @@
                     .push(Decision::TargetReset { flow, is_held });
                 if !is_held {
                     self.flows.remove(flow, now_ms);
+                    self.recovered_flows.remove(flow);
                     self.resume_denied(flow, now_ms);
                     return AgentVerdict::Drop;
                 }
             }
             self.probes.retain(|packet| packet.flow != flow);
             if self.flows.record_target_packet(flow, &segment, now_ms) {
-                self.register_flow(flow, now_ms);
+                self.recovered_flows.remove(flow);
+                self.register_flow(flow, OwnerEvidence::Registered, now_ms);
             }
             return AgentVerdict::Caller(segment.destination);
         }
@@ -284,6 +293,7 @@
         let flow = segment.caller_flow();
         let open_caller_ack = self.flows.open_caller_ack(flow);
         self.flows.remove(flow, now_ms);
+        self.recovered_flows.remove(flow);
         self.probes.retain(|packet| packet.flow != flow);
         if segment.opens_flow() {
             return self.redirect_syn(datagram, &segment, hop, true, now_ms);
@@ -369,15 +379,20 @@
                     self.target.record_draining();
                 }
                 let load = Some(self.load(now_ms));
-                self.peering
-                    .handle_presence(*presence, wants_members, version, load, now_ms);
-            }
-            Notice::Load(load) => self.peering.handle_load(from, &load, now_ms),
-            Notice::FlowOwner { owner, flows } => {
-                for flow in flows {
-                    self.flow_owners.insert(flow, owner, now_ms);
+                let sender = presence.instance.clone();
+                let change =
+                    self.peering
+                        .handle_presence(*presence, wants_members, version, load, now_ms);
+                if change == Some(MemberChange::Joined) && sender.role == InstanceRole::Agent {
+                    self.return_flows(&sender);
                 }
             }
+            Notice::Load(load) => self.peering.handle_load(from, &load, now_ms),
+            Notice::FlowOwner {
+                owner,
+                flows,
+                evidence,
+            } => self.record_owner(owner, flows, evidence, now_ms),
             Notice::SlotRequest => self.slot_requests.record_request(from, now_ms),
             Notice::SlotGrant => self.use_slot_grant(from, now_ms),
             Notice::Members(instances) => {
@@ -426,6 +441,10 @@
             self.swept_at_ms = now_ms;
             self.flows.sweep(now_ms, self.idle_timeout_ms);
             self.flow_owners.remove_idle(now_ms, REGISTRATION_TTL_MS);
+            self.recovered_owners
+                .remove_idle(now_ms, REGISTRATION_TTL_MS);
+            self.recovered_flows
+                .remove_idle(now_ms, self.idle_timeout_ms);
             self.redirects.remove_idle(now_ms, REDIRECT_TTL_MS);
         }
     }
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -126,6 +126,11 @@
             self.decisions
                 .record(&mut self.core.peering.decisions, now_ms);
         }
+        let now_ms = self.clock.now_ms();
+        self.core.hand_over_owners(now_ms);
+        self.io.send_notices(&mut self.core.peering.outbox);
+        self.decisions
+            .record(&mut self.core.peering.decisions, now_ms);
         if self.core.stays_registered(self.clock.now_ms()) {
             info!(self.log, "registration left to expire"; "flows" => self.core.flows());
         } else {
--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -16,6 +16,7 @@
     forward::{
         absence::{self, FlowAbsence, TargetAnswer},
         decision::{Decision, Reason, SearchGap},
+        notices::OwnerEvidence,
     },
     membership::{instance::TargetState, rendezvous::flow_hash},
 };
@@ -28,7 +29,7 @@
 /// Maximum number of kept packets of unknown flows.
 const MAX_PROBES: usize = 256;
 /// Interval between two registrations of all open flows with their registry agents.
-const REREGISTER_INTERVAL_MS: u64 = 10_000;
+pub(super) const REREGISTER_INTERVAL_MS: u64 = 10_000;
 
 impl<F: PacketFormat> AgentCore<F> {
     /// Handles a packet of a flow that the target is not known to hold.
@@ -78,14 +79,15 @@
     ) -> Option<(HopMetadata, SocketAddrV4)> {
         let local_address = self.peering.local_instance().packet_address;
         let registered = self.flow_owners.owner(flow, now_ms);
-        let redirected = self.redirects.owner(flow, now_ms);
+        let recovered = self.recovered_owners.owner(flow, now_ms);
+        let presumed = recovered.or_else(|| self.redirects.owner(flow, now_ms));
         let (lookup, tried, address) = match hop.lookup {
             Lookup::Known if hop.tried < MAX_GRANT_HOPS => {
-                (Lookup::Known, hop.tried + 1, registered.or(redirected)?)
+                (Lookup::Known, hop.tried + 1, registered.or(presumed)?)
             }
             Lookup::Registry => match registered {
                 Some(address) => (Lookup::Registered, hop.tried, address),
-                None => (Lookup::Redirected, hop.tried, redirected?),
+                None => (Lookup::Redirected, hop.tried, presumed?),
             },
             Lookup::Known | Lookup::Registered | Lookup::Search | Lookup::Redirected => {
                 return None;
@@ -169,13 +171,27 @@
         let local_address = self.peering.local_instance().packet_address;
         if let Some(entry) = self.peering.directory.by_tag(hop.entry_tag) {
             let address = entry.instance.control_address;
-            self.peering.outbox.push_owner(address, local_address, flow);
+            let evidence = OwnerEvidence::Registered;
+            self.peering
+                .outbox
+                .push_owner(address, local_address, flow, evidence);
         }
     }
 
     /// Registers a flow of the local target with its registry agents.
-    pub(super) fn register_flow(&mut self, flow: FlowKey, now_ms: u64) {
+    pub(super) fn register_flow(&mut self, flow: FlowKey, evidence: OwnerEvidence, now_ms: u64) {
         let local_address = self.peering.local_instance().packet_address;
+        self.send_owner(flow, local_address, evidence, now_ms);
+    }
+
+    /// Sends the owner of a flow to the flow's registry agents, except this one.
+    pub(super) fn send_owner(
+        &mut self,
+        flow: FlowKey,
+        owner: SocketAddrV4,
+        evidence: OwnerEvidence,
+        now_ms: u64,
+    ) {
         let hash = flow_hash(flow);
         for rank in 0..OWNER_REPLICAS {
             let directory = &self.peering.directory;
@@ -184,7 +200,9 @@
             };
             if !directory.is_local(registry_agent) {
                 let address = registry_agent.instance.control_address;
-                self.peering.outbox.push_owner(address, local_address, flow);
+                self.peering
+                    .outbox
+                    .push_owner(address, owner, flow, evidence);
             }
         }
     }
@@ -340,7 +358,11 @@
         self.flows_registered_at_ms = now_ms;
         let open: Vec<_> = self.flows.open_flows().collect();
         for flow in open {
-            self.register_flow(flow, now_ms);
+            self.register_flow(flow, OwnerEvidence::Registered, now_ms);
+        }
+        let recovered: Vec<_> = self.recovered_flows.iter().collect();
+        for owned in recovered {
+            self.register_flow(owned.flow, OwnerEvidence::Recovered, now_ms);
         }
     }
 }
--- a/src/forward/agent/mod.rs
+++ b/src/forward/agent/mod.rs
@@ -1,7 +1,8 @@
 //! The agent: forwards packets between balancers, other agents and its local target.
 //!
 //! [`core`] holds its state and handles packets, with [`syn`] for the opening of flows and
-//! [`lookup`] for flows that the target is not known to hold. They do no I/O. [`driver`] runs them on
+//! [`lookup`] for flows that the target is not known to hold and [`recovery`] for what is known of them
+//! across restarts. They do no I/O. [`driver`] runs them on
 //! sockets.
 
 pub mod core;
@@ -9,6 +10,7 @@
 pub mod flows;
 pub mod lookup;
 pub mod probe;
+pub mod recovery;
 pub mod slot_requests;
 pub mod syn;
 pub mod syn_queue;
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -281,7 +281,7 @@
                     .handle_presence(*presence, wants_members, version, None, now_ms);
             }
             Notice::Load(load) => self.peering.handle_load(from, &load, now_ms),
-            Notice::FlowOwner { owner, flows } => {
+            Notice::FlowOwner { owner, flows, .. } => {
                 for flow in flows {
                     self.flows.insert(flow, owner, now_ms);
                     self.peering
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -224,6 +224,23 @@
         /// Whether the target was known to hold the flow.
         is_held: bool,
     },
+    /// A started agent was sent the flows that its earlier incarnation had registered here.
+    FlowsReturned {
+        /// Name of the agent.
+        agent: Arc<str>,
+        /// Number of flows.
+        len: usize,
+    },
+    /// Another agent has named flows that an earlier incarnation of this one owned.
+    FlowsRecovered {
+        /// Number of flows that were not known.
+        len: usize,
+    },
+    /// At its exit an agent sent the owners of flows, whose agents are away, to other agents.
+    OwnersHandedOver {
+        /// Number of flows.
+        len: usize,
+    },
     /// A balancer received the owner of a flow.
     OwnerLearned {
         /// The flow.
@@ -308,9 +325,11 @@
             Decision::Refused { .. }
             | Decision::SearchEnded { .. }
             | Decision::TargetReset { .. } => &mut self.reset_limit,
-            Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => {
-                &mut self.member_limit
-            }
+            Decision::MemberChanged { .. }
+            | Decision::MemberRemoved { .. }
+            | Decision::FlowsReturned { .. }
+            | Decision::FlowsRecovered { .. }
+            | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
             Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
                 &mut self.local_limit
             }
@@ -336,6 +355,9 @@
         Decision::SearchIncomplete { .. } => Event::FlowSearchIncomplete,
         Decision::SearchEnded { .. } => Event::FlowSearchEnded,
         Decision::TargetReset { .. } => Event::TargetReset,
+        Decision::FlowsReturned { .. }
+        | Decision::FlowsRecovered { .. }
+        | Decision::OwnersHandedOver { .. } => Event::FlowOwnersRecovered,
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
@@ -343,6 +365,17 @@
     }
 }
 
+fn write_gap(log: &Logger, flow: FlowKey, gap: &SearchGap, suppressed: u64) {
+    let (awaited, silent_ms) = match gap {
+        SearchGap::AgentLeftOut {
+            agent, silent_ms, ..
+        } => (&**agent, *silent_ms),
+        _ => ("", 0),
+    };
+    info!(log, "flow search incomplete"; "flow" => %flow, "reason" => gap.name(),
+        "awaited" => awaited, "silent_ms" => silent_ms, "left_out" => suppressed);
+}
+
 /// Logs a decision. `suppressed` is the number of lines left out by the rate limit since the last
 /// one.
 fn write(log: &Logger, decision: Decision, suppressed: u64) {
@@ -395,18 +428,7 @@
             "reason" => reason.name(), "left_out" => suppressed),
         Decision::LookedUp { flow, agent, tried } => info!(log, "flow lookup sent";
             "flow" => %flow, "agent" => &*agent, "tried" => tried, "left_out" => suppressed),
-        Decision::SearchIncomplete { flow, gap } => {
-            let reason = gap.name();
-            let (awaited, silent_ms) = match gap {
-                SearchGap::AgentLeftOut {
-                    agent, silent_ms, ..
-                } => (Some(agent), silent_ms),
-                _ => (None, 0),
-            };
-            info!(log, "flow search incomplete"; "flow" => %flow, "reason" => reason,
-                "awaited" => awaited.as_deref().unwrap_or_default(), "silent_ms" => silent_ms,
-                "left_out" => suppressed);
-        }
+        Decision::SearchIncomplete { flow, gap } => write_gap(log, flow, &gap, suppressed),
         Decision::SearchEnded {
             flow,
             lookup,
@@ -422,6 +444,12 @@
             "is_incomplete" => is_incomplete, "is_reset" => is_reset, "left_out" => suppressed),
         Decision::TargetReset { flow, is_held } => info!(log, "flow reset by the target";
             "flow" => %flow, "is_held" => is_held, "left_out" => suppressed),
+        Decision::FlowsReturned { agent, len } => info!(log, "flows returned to a started agent";
+            "agent" => &*agent, "flows" => len, "left_out" => suppressed),
+        Decision::FlowsRecovered { len } => info!(log, "flows recovered";
+            "flows" => len, "left_out" => suppressed),
+        Decision::OwnersHandedOver { len } => info!(log, "flow owners handed over";
+            "flows" => len, "left_out" => suppressed),
         Decision::OwnerLearned { flow, owner } => info!(log, "flow owner learned";
             "flow" => %flow, "owner" => %owner, "left_out" => suppressed),
         Decision::MemberChanged {
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -16,6 +16,16 @@
 /// Maximum number of instances in a notice, so that it fits into one datagram.
 const MAX_MEMBERS: usize = 12;
 
+/// How the owner of a flow is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnerEvidence {
+    /// The owner itself says so: the flow was opened at its target.
+    Registered,
+    /// An earlier incarnation of the owner said so, or another agent did. The flow may have ended
+    /// since.
+    Recovered,
+}
+
 /// A control message from one instance to another.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
@@ -30,6 +40,8 @@
         owner: SocketAddrV4,
         /// The flows.
         flows: Vec<FlowKey>,
+        /// Whether the owner has opened these flows, or may have according to others.
+        evidence: OwnerEvidence,
     },
     /// Instances known to the sender.
     Members(Vec<Instance>),
@@ -58,10 +70,15 @@
                 receiver_was_draining: presence.receiver_was_draining,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
-            Self::FlowOwner { owner, flows } => Body::FlowOwner(wire::FlowOwner {
+            Self::FlowOwner {
+                owner,
+                flows,
+                evidence,
+            } => Body::FlowOwner(wire::FlowOwner {
                 owner_ip: (*owner.ip()).into(),
                 owner_port: owner.port().into(),
                 flows: flows.iter().map(flow_message).collect(),
+                is_recovered: *evidence == OwnerEvidence::Recovered,
             }),
             Self::Members(instances) => Body::Members(wire::Members {
                 instances: instances.iter().map(Instance::to_message).collect(),
@@ -97,6 +114,11 @@
             Body::FlowOwner(notice) => Self::FlowOwner {
                 owner: address(notice.owner_ip, notice.owner_port)?,
                 flows: notice.flows.iter().filter_map(flow_key).collect(),
+                evidence: if notice.is_recovered {
+                    OwnerEvidence::Recovered
+                } else {
+                    OwnerEvidence::Registered
+                },
             },
             Body::SlotRequest(_) => Self::SlotRequest,
             Body::SlotGrant(_) => Self::SlotGrant,
@@ -142,16 +164,25 @@
         self.notices.push((to, notice));
     }
 
-    /// Adds the owner of a flow. Flows with the same owner and receiver share a notice as long as
-    /// it has room.
-    pub fn push_owner(&mut self, to: SocketAddrV4, owner: SocketAddrV4, flow: FlowKey) {
-        for (receiver, notice) in &mut self.notices {
+    /// Adds the owner of a flow. Flows with the same owner, evidence and receiver share a notice as
+    /// long as it has room.
+    pub fn push_owner(
+        &mut self,
+        to: SocketAddrV4,
+        owner: SocketAddrV4,
+        flow: FlowKey,
+        evidence: OwnerEvidence,
+    ) {
+        // The newest notices are the ones with room.
+        for (receiver, notice) in self.notices.iter_mut().rev() {
             if let Notice::FlowOwner {
                 owner: pending_owner,
                 flows,
+                evidence: pending_evidence,
             } = notice
                 && *receiver == to
                 && *pending_owner == owner
+                && *pending_evidence == evidence
                 && flows.len() < MAX_FLOWS
             {
                 flows.push(flow);
@@ -159,7 +190,12 @@
             }
         }
         let flows = vec![flow];
-        self.push(to, Notice::FlowOwner { owner, flows });
+        let notice = Notice::FlowOwner {
+            owner,
+            flows,
+            evidence,
+        };
+        self.push(to, notice);
     }
 
     /// Adds a list of instances, split into as many notices as necessary.
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -359,7 +359,7 @@
         }
     }
 
-    /// Handles a presence message. Replies with a presence message if the sender is new, and with a
+    /// Handles a presence message and returns what has changed. Replies with a presence message if the sender is new, and with a
     /// presence message and the known instances if it requests them.
     pub fn handle_presence(
         &mut self,
@@ -368,7 +368,7 @@
         route_version: RouteVersion,
         load: Option<TargetLoad>,
         now_ms: u64,
-    ) {
+    ) -> Option<MemberChange> {
         let address = presence.instance.control_address;
         let name = Arc::clone(&presence.instance.name);
         let incarnation = presence.instance.incarnation;
@@ -387,13 +387,14 @@
             let instances: Vec<_> = live.map(|member| member.instance.clone()).collect();
             self.outbox.push_members(address, &instances);
         }
-        if let Some(change) = change {
+        if let Some(change) = change.clone() {
             self.decisions.push(Decision::MemberChanged {
                 name,
                 incarnation,
                 change,
             });
         }
+        change
     }
 
     /// Handles the load report of an agent.
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -58,6 +58,9 @@
     TargetReset => "target_reset",
     /// The owner of a flow was received from another instance.
     FlowOwnerLearned => "flow_owner_learned",
+    /// Flows of an agent that has restarted were sent to it or received by it, or their owners were
+    /// handed over to another agent.
+    FlowOwnersRecovered => "flow_owners_recovered",
     /// An open flow was ended because its target is no longer running.
     FlowLost => "flow_lost",
     /// Another instance was added, changed its state or was removed.
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -139,6 +139,10 @@
     /// The flows.
     #[prost(message, repeated, tag = "3")]
     pub flows: ::prost::alloc::vec::Vec<Flow>,
+    /// Whether the owner itself has not seen these flows since its start, or another agent passes them on.
+    /// Such a registration tells where a flow is to be looked for, but is no proof that it was opened there.
+    #[prost(bool, tag = "4")]
+    pub is_recovered: bool,
 }
 /// Addresses that identify a flow.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/reset_gaps.rs
+++ b/tests/reset_gaps.rs
@@ -9,7 +9,7 @@
         packet::{HopMetadata, Lookup},
         routes::{Backend, Class, Route, RouteTable},
     },
-    forward::notices::Notice,
+    forward::notices::{Notice, OwnerEvidence},
     membership::rendezvous::tag,
 };
 use simulation::{SERVICE, Simulation, flow, service_address, syn};
@@ -140,6 +140,7 @@
     let notice = Notice::FlowOwner {
         owner: wrong,
         flows: vec![flow(1)],
+        evidence: OwnerEvidence::Registered,
     };
     let now_ms = sim.now_ms;
     sim.balancers[0].handle_notice(wrong, notice, now_ms);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -157,6 +157,8 @@
     pub is_starting: bool,
     /// Flows whose SYNs the target has returned.
     pub refused: Vec<FlowKey>,
+    /// Flow of each packet other than a SYN that the target has returned.
+    pub denied: Vec<FlowKey>,
     /// Flow and end time of each request that occupies a slot.
     running: Vec<(FlowKey, u64)>,
     /// Flows of the requests that wait for a slot.
@@ -175,6 +177,7 @@
             is_silent: false,
             is_starting: false,
             refused: Vec::new(),
+            denied: Vec::new(),
             running: Vec::new(),
             queue: VecDeque::new(),
         }
@@ -217,6 +220,7 @@
             return vec![datagram(key.service, key.caller, RST, sequence, 0, 0)];
         }
         if !self.has_opened(&segment) {
+            self.denied.push(key);
             return vec![returned];
         }
         if segment.data_len > 0 {
@@ -544,6 +548,8 @@
             for index in 0..self.agents.len() {
                 let agent = &self.agents[index];
                 if agent.is_up && agent.exits_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                    self.agents[index].core.hand_over_owners(now_ms);
+                    self.deliver_notices();
                     self.exit_agent(index);
                 }
             }
@@ -845,7 +851,7 @@
     }
 
     /// Sends a packet from a target to its agent.
-    fn send_from_target(&mut self, index: usize, mut bytes: Vec<u8>) {
+    pub fn send_from_target(&mut self, index: usize, mut bytes: Vec<u8>) {
         if self.agents[index].is_frozen {
             self.agents[index].unread.push(Unread::Outbound(bytes));
             return;
@@ -964,6 +970,15 @@
             .sum()
     }
 
+    /// Number of packets of a flow that targets have returned.
+    pub fn denied_count(&self, number: u16) -> usize {
+        let key = flow(number);
+        let targets = self.agents.iter().map(|agent| &agent.target);
+        targets
+            .map(|target| target.denied.iter().filter(|flow| **flow == key).count())
+            .sum()
+    }
+
     /// Whether the caller of a flow received a reset that it did not ignore.
     pub fn was_reset(&self, number: u16) -> bool {
         let caller = self.callers.get(&caller(number));
