Tell with each presence message for how long an instance has been leaving

Cause: an agent that leaves is asked for 0.9 s from its announcement. A process that starts meanwhile hears of it late and counted from then on.

Change: the presence message carries the time since the announcement, and the earlier of the two times counts.

Test, failed before: a_started_agent_does_not_ask_an_agent_after_its_exit.

--- a/benches/search.rs
+++ b/benches/search.rs
@@ -36,7 +36,7 @@
             packet_address: SocketAddrV4::new(ip, 8_000),
             control_address: SocketAddrV4::new(ip, 7_000),
         },
-        is_leaving: false,
+        leaving_for_ms: None,
         route_version: RouteVersion::default(),
         load: Some(TargetLoad {
             state: TargetState::Ready,
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -59,7 +59,8 @@
         let body = match self {
             Self::Presence(presence, wants_members) => Body::Presence(wire::Presence {
                 instance: Some(presence.instance.to_message()),
-                is_leaving: presence.is_leaving,
+                is_leaving: presence.leaving_for_ms.is_some(),
+                leaving_for_ms: presence.leaving_for_ms.unwrap_or_default(),
                 wants_members: *wants_members,
                 route_version: presence.route_version.number,
                 route_era: presence.route_version.era.0,
@@ -97,7 +98,7 @@
             Body::Presence(presence) => Self::Presence(
                 Box::new(Presence {
                     instance: Instance::from_message(presence.instance.as_ref()?)?,
-                    is_leaving: presence.is_leaving,
+                    leaving_for_ms: presence.is_leaving.then_some(presence.leaving_for_ms),
                     route_version: RouteVersion::new(
                         presence.route_version,
                         StoreEra(presence.route_era),
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -107,8 +107,8 @@
     local_instance: Instance,
     /// Control addresses to send presence messages to until an instance there has been heard from.
     seeds: Vec<SocketAddrV4>,
-    /// Whether this instance is about to exit.
-    is_leaving: bool,
+    /// Time at which this instance announced that it is about to exit; `None` if it has not.
+    leaving_since_ms: Option<u64>,
     /// Whether the fabric sends callers' packets to this instance; always `false` for agents.
     is_in_rotation: bool,
     /// Startup time of this process.
@@ -138,7 +138,7 @@
             decisions: Vec::new(),
             seeds,
             local_instance,
-            is_leaving: false,
+            leaving_since_ms: None,
             is_in_rotation: false,
             started_at_ms: now_ms,
             presence_sent_at_ms: None,
@@ -159,7 +159,7 @@
     /// Whether this instance is about to exit.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving
+        self.leaving_since_ms.is_some()
     }
 
     /// Records that the store has responded to this instance.
@@ -190,11 +190,13 @@
     ) -> Presence {
         Presence {
             instance: self.local_instance.clone(),
-            is_leaving: self.is_leaving,
+            leaving_for_ms: self
+                .leaving_since_ms
+                .map(|since_ms| u32::try_from(now_ms.saturating_sub(since_ms)).unwrap_or(u32::MAX)),
             route_version,
             load,
             reaches_store: self.reaches_store(now_ms),
-            is_in_rotation: self.is_in_rotation && !self.is_leaving,
+            is_in_rotation: self.is_in_rotation && !self.is_leaving(),
             next_within_ms: u32::try_from(self.presence_interval_ms()).unwrap_or(u32::MAX),
             receiver_was_draining: false,
         }
@@ -247,7 +249,7 @@
 
     /// Announces to all instances that this one is about to exit.
     pub fn leave(&mut self, route_version: RouteVersion, load: Option<TargetLoad>, now_ms: u64) {
-        self.is_leaving = true;
+        self.leaving_since_ms.get_or_insert(now_ms);
         self.broadcast_presence(route_version, load, now_ms);
     }
 
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -68,7 +68,8 @@
     pub is_listed: bool,
     /// The last list with the instance; `None` if there was none.
     last_listing: Option<Listing>,
-    /// Time at which the instance first announced that it is about to exit; `None` if it has not.
+    /// Time at which the instance first announced that it is about to exit, which may be before it
+    /// was first heard here; `None` if it has not.
     leaving_since_ms: Option<u64>,
     /// Whether the instance's target was draining according to the last report of an earlier
     /// incarnation of the instance.
@@ -410,11 +411,13 @@
         if presence.reaches_store {
             member.reached_store_at_ms = Some(now_ms);
         }
-        if presence.is_leaving && !member.is_leaving() {
+        if presence.leaving_for_ms.is_some() && !member.is_leaving() {
             change = Some(MemberChange::Leaving);
         }
-        let is_leaving = presence.is_leaving;
-        member.leaving_since_ms = is_leaving.then(|| member.leaving_since_ms.unwrap_or(now_ms));
+        member.leaving_since_ms = presence.leaving_for_ms.map(|leaving_for_ms| {
+            let since_ms = now_ms.saturating_sub(leaving_for_ms.into());
+            member.leaving_since_ms.unwrap_or(now_ms).min(since_ms)
+        });
         if !was_alive || change.is_some() {
             self.generation += 1;
         }
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -165,8 +165,9 @@
 pub struct Presence {
     /// The sender.
     pub instance: Instance,
-    /// Whether the sender is about to exit.
-    pub is_leaving: bool,
+    /// Time since the sender first announced that it is about to exit, in milliseconds; `None` if it
+    /// has not.
+    pub leaving_for_ms: Option<u32>,
     /// Version of the sender's route table.
     pub route_version: RouteVersion,
     /// Load of the sender's target; `None` from balancers.
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -90,6 +90,9 @@
     /// Era of the store in which the sender's route table was read; 0 if it is not known.
     #[prost(uint64, tag = "10")]
     pub route_era: u64,
+    /// If the sender is about to exit, time since it first announced that, in milliseconds.
+    #[prost(uint32, tag = "11")]
+    pub leaving_for_ms: u32,
 }
 /// Load of a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -56,6 +56,21 @@
     assert_eq!(sim.request_count(1), 1);
 }
 
+// A started agent hears from one that has long been leaving and then exits. Taken for one that has just
+// announced that, it is asked after its exit, and the search is lost there.
+#[test]
+fn a_started_agent_does_not_ask_an_agent_after_its_exit() {
+    let (mut sim, number, order) = forget_idle_flow();
+    let gone = order[1];
+    sim.stop_agent(gone);
+    sim.advance(800);
+    sim.restart_agent(order[0]);
+    sim.advance(300);
+    assert!(!sim.agents[gone].is_up);
+    sim.send_from_caller(1, sim.request(number));
+    assert_eq!(sim.request_count(number), 1);
+}
+
 /// Restarts agents one after another as the platform does: each forwards until its exit, and starts
 /// again 500 ms later.
 fn restart_in_turn(sim: &mut Simulation, agents: &[usize]) {
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -33,7 +33,7 @@
     };
     Presence {
         instance: instance.clone(),
-        is_leaving: false,
+        leaving_for_ms: None,
         route_version: VERSION,
         load: Some(load),
         reaches_store: true,
