Saturate sums of figures that other processes and targets send

Cause: capacity, running requests, flows and service times of heartbeats, load reports and announcements were added and multiplied in 32 or 64 bits, and so was the time-out that a caller asks for in a header. A build with overflow checks ends ('attempt to multiply with overflow' in placement::cost_us, 'attempt to add with overflow' in the balancer's load of an agent); a release build goes on with a wrapped figure: a target at its limit looks free, and an admission limit of 2^32 becomes 0 or 1.

Change: these sums saturate, or are in floating point. An interval between messages that an instance claims counts up to 30 s, the time after which silent instances are removed.

The caller's time-out is changed by reading, without a test of its own.

--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -54,7 +54,8 @@
             classification,
             idempotency_key: idempotency_key(request)?,
             fingerprint: fingerprint(request),
-            start_by_ms: timeout_ms.map(|timeout_ms| shared.clock.now_ms() + timeout_ms),
+            start_by_ms: timeout_ms
+                .map(|timeout_ms| shared.clock.now_ms().saturating_add(timeout_ms)),
             arrived_at: Instant::now(),
         })
     }
--- a/src/balancer/directory.rs
+++ b/src/balancer/directory.rs
@@ -256,8 +256,9 @@
 /// assigned since the announcement count as both a request and a connection.
 fn load(entry: &AgentEntry) -> f64 {
     let announce = &entry.announce;
-    let requests = announce.running + announce.queued + entry.flows_assigned;
-    let connections = announce.connections + entry.flows_assigned;
-    f64::from(requests) / f64::from(announce.slots.max(1))
-        + f64::from(connections) / f64::from(announce.connection_limit.max(1))
+    let assigned = f64::from(entry.flows_assigned);
+    let requests = f64::from(announce.running) + f64::from(announce.queued) + assigned;
+    let connections = f64::from(announce.connections) + assigned;
+    requests / f64::from(announce.slots.max(1))
+        + connections / f64::from(announce.connection_limit.max(1))
 }
--- a/src/forward/agent/syn.rs
+++ b/src/forward/agent/syn.rs
@@ -248,7 +248,7 @@
                 && !self.peering.directory.is_local(member)
                 && member.load.state == TargetState::Ready
                 && member.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS
-                && member.load.running + member.placed_since_report < member.load.capacity
+                && member.expected_running() < member.load.capacity
         })
     }
 
@@ -272,8 +272,8 @@
         let load = self.load(now_ms);
         let local_candidate = Candidate::new(&load, 0, false);
         let median_us = placement::median_service_time_us(&self.peering.directory, &service);
-        placement::cost_us(&other_candidate, median_us) * 100
-            < placement::cost_us(&local_candidate, median_us) * percent
+        placement::cost_us(&other_candidate, median_us).saturating_mul(100)
+            < placement::cost_us(&local_candidate, median_us).saturating_mul(percent)
     }
 
     /// Agent with the lowest cost for the flow, other than this one; `None` if there is none.
@@ -391,7 +391,9 @@
         }
         let completing = (u64::from(capacity) * HANDSHAKE_MS).div_ceil(service_time_ms);
         let completing = u32::try_from(completing).unwrap_or(u32::MAX).min(capacity);
-        capacity + completing + SPARE_REQUESTS
+        capacity
+            .saturating_add(completing)
+            .saturating_add(SPARE_REQUESTS)
     }
 
     /// Rate at which the local target serves requests.
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -193,7 +193,7 @@
             flow,
             agent: Arc::clone(&name),
             copy: segment.acknowledged,
-            running: chosen.load.running + chosen.placed_since_report,
+            running: chosen.expected_running(),
             load_age_ms: chosen.load_age_ms(now_ms),
             route_version: self.routes.version().number,
         };
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Requests in progress at the instance's target, with the flows placed since the last report.
+    #[must_use]
+    pub fn expected_running(&self) -> u32 {
+        self.load.running.saturating_add(self.placed_since_report)
+    }
+
     /// Time since the last load report, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
@@ -407,7 +413,7 @@
         member.route_version = presence.route_version;
         member.is_in_rotation = presence.is_in_rotation;
         let suspect_after_ms = u64::from(presence.next_within_ms) * SUSPECT_AFTER_PERCENT / 100;
-        member.suspect_after_ms = suspect_after_ms.max(SUSPECT_AFTER_MS);
+        member.suspect_after_ms = suspect_after_ms.clamp(SUSPECT_AFTER_MS, REMOVE_AFTER_MS);
         if presence.reaches_store {
             member.reached_store_at_ms = Some(now_ms);
         }
@@ -492,7 +498,8 @@
     /// Counts a flow placed on an agent since the agent's last load report.
     pub fn count_placed(&mut self, name: &str) {
         if let Ok(index) = self.find(name) {
-            self.members[index].placed_since_report += 1;
+            let member = &mut self.members[index];
+            member.placed_since_report = member.placed_since_report.saturating_add(1);
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -52,8 +52,8 @@
     pub fn new(load: &TargetLoad, placed_since_report: u32, is_remote: bool) -> Self {
         Self {
             capacity: load.capacity,
-            running: load.running + placed_since_report,
-            flows: load.flows + placed_since_report,
+            running: load.running.saturating_add(placed_since_report),
+            flows: load.flows.saturating_add(placed_since_report),
             service_time_us: load.service_time_us,
             is_cold: load.cold_left_ms > 0,
             is_remote,
@@ -88,13 +88,16 @@
     let waiting = (running + 1).saturating_sub(capacity);
     let idle = u64::from(candidate.flows).saturating_sub(running);
     let used_percent = (running * 100 + idle * IDLE_FLOW_PERCENT) / capacity;
-    let contention_us = service_us * CONTENTION_PERCENT * used_percent / 10_000;
+    let contention_us = (service_us * CONTENTION_PERCENT).saturating_mul(used_percent) / 10_000;
     let cross_domain_us = if candidate.is_remote {
         median_service_time_us * CROSS_DOMAIN_PERCENT / 100
     } else {
         0
     };
-    service_us + service_us * waiting / capacity + contention_us + cross_domain_us
+    let queueing_us = service_us.saturating_mul(waiting) / capacity;
+    (service_us + cross_domain_us)
+        .saturating_add(queueing_us)
+        .saturating_add(contention_us)
 }
 
 /// Parameters of a placement.
