Ignore store entries that name another instance, and names longer than 255 bytes

Cause: an entry was taken for the instance that its contents name, whatever its key, so a foreign entry could keep an instance that is gone listed or name a living one. Names had no limit; lists of twelve instances with long names exceed the 2,048 bytes that a receiver reads, which drops the whole list.

Change: an entry counts only under the key of the instance that it names; names and failure domains have at most 255 bytes; lists of instances are split by their length, at 1,200 bytes, instead of by their number.

Tests, failed before: an_entry_that_names_another_instance_or_is_too_long_is_ignored, a_list_of_instances_with_long_names_fits_into_datagrams.

--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -13,8 +13,8 @@
 
 /// Maximum number of flows in a notice, so that it fits into one datagram.
 const MAX_FLOWS: usize = 50;
-/// Maximum number of instances in a notice, so that it fits into one datagram.
-const MAX_MEMBERS: usize = 12;
+/// Maximum length of the instances in a notice, in bytes, so that it fits into one datagram.
+const MAX_MEMBERS_LEN: usize = 1_200;
 
 /// How the owner of a flow is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -201,8 +201,19 @@
 
     /// Adds a list of instances, split into as many notices as necessary.
     pub fn push_members(&mut self, to: SocketAddrV4, instances: &[Instance]) {
-        for chunk in instances.chunks(MAX_MEMBERS) {
-            self.push(to, Notice::Members(chunk.to_vec()));
+        let mut chunk = Vec::new();
+        let mut chunk_len = 0;
+        for instance in instances {
+            let len = instance.to_message().encoded_len();
+            if chunk_len + len > MAX_MEMBERS_LEN && !chunk.is_empty() {
+                self.push(to, Notice::Members(std::mem::take(&mut chunk)));
+                chunk_len = 0;
+            }
+            chunk_len += len;
+            chunk.push(instance.clone());
+        }
+        if !chunk.is_empty() {
+            self.push(to, Notice::Members(chunk));
         }
     }
 
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -203,8 +203,7 @@
             .iter()
             .any(|entry| entry.key.strip_prefix(INSTANCES_PREFIX) == Some(name));
         let instances = entries.iter().filter_map(|entry| {
-            let message = wire::Instance::decode(&*entry.value).ok();
-            let instance = message.as_ref().and_then(Instance::from_message);
+            let instance = decode_instance(entry);
             if instance.is_none() {
                 self.counters.count(Event::IgnoredReport);
                 warn!(self.log, "malformed instance entry ignored"; "key" => &*entry.key,
@@ -356,6 +355,15 @@
     }
 }
 
+/// Decodes an instance entry; `None` if it is malformed or does not belong to the instance that it
+/// names.
+fn decode_instance(entry: &Entry) -> Option<Instance> {
+    let message = wire::Instance::decode(&*entry.value).ok()?;
+    let instance = Instance::from_message(&message)?;
+    let is_own = entry.key.strip_prefix(INSTANCES_PREFIX) == Some(&*instance.name);
+    is_own.then_some(instance)
+}
+
 /// Logs when the store becomes unreachable and when it is reachable again, once each.
 #[derive(Debug)]
 struct StoreConnectivity {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -4,6 +4,10 @@
 
 use crate::{flow::routes::RouteVersion, proto::flow as wire};
 
+/// Maximum length of the name and of the failure domain of an instance, in bytes, so that a notice
+/// about it fits into a datagram.
+const MAX_NAME_LEN: usize = 255;
+
 /// Role of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceRole {
@@ -49,7 +53,8 @@
         }
     }
 
-    /// Converts a wire message to an instance; returns `None` if a field is missing or invalid.
+    /// Converts a wire message to an instance; returns `None` if a field is missing, invalid or too
+    /// long.
     #[must_use]
     pub fn from_message(message: &wire::Instance) -> Option<Self> {
         let role = match message.role() {
@@ -57,7 +62,8 @@
             wire::Role::Balancer => InstanceRole::Balancer,
             wire::Role::Agent => InstanceRole::Agent,
         };
-        if message.name.is_empty() || message.ip == 0 {
+        let is_too_long = message.name.len().max(message.failure_domain.len()) > MAX_NAME_LEN;
+        if message.name.is_empty() || is_too_long || message.ip == 0 {
             return None;
         }
         let address = |port: u32| {
--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -7,8 +7,12 @@
 use bamboowind::{
     balancer::directory::AgentDirectory,
     flow::packet::PacketFormat,
-    forward::{agent::target::Heartbeat, notices::Notice},
-    membership::instance::{TargetLoad, TargetState},
+    forward::{
+        agent::target::Heartbeat,
+        notices::{Notice, Outbox},
+        socket::MAX_DATAGRAM_LEN,
+    },
+    membership::instance::{Instance, InstanceRole, TargetLoad, TargetState},
     placement::{Candidate, cost_us},
     proto::{
         control::{AgentState, Announce},
@@ -220,6 +224,32 @@
         prop_assert!(sim.received_counts(SYN | ACK).contains_key(&caller(1)));
     }
 
+    // A list of instances that is longer than a datagram is cut off, and names nobody.
+    #[test]
+    fn a_list_of_instances_with_long_names_fits_into_datagrams(
+        lengths in prop::collection::vec((1..256_usize, 0..256_usize), 1..40),
+    ) {
+        let instances: Vec<_> = lengths.iter().map(|(name_len, domain_len)| Instance {
+            name: "n".repeat(*name_len).into(),
+            incarnation: u64::MAX,
+            role: InstanceRole::Agent,
+            failure_domain: "d".repeat(*domain_len).into(),
+            packet_address: "10.0.0.1:8000".parse().unwrap(),
+            control_address: "10.0.0.1:7000".parse().unwrap(),
+        }).collect();
+        let mut outbox = Outbox::default();
+        outbox.push_members("10.0.0.2:7000".parse().unwrap(), &instances);
+        let mut received = Vec::new();
+        for (_, notice) in outbox.drain() {
+            let bytes = notice.encode();
+            prop_assert!(bytes.len() <= MAX_DATAGRAM_LEN);
+            if let Some(Notice::Members(members)) = Notice::decode(&bytes) {
+                received.extend(members);
+            }
+        }
+        prop_assert_eq!(received, instances);
+    }
+
     #[test]
     fn random_notices_end_no_process(
         notices in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 1..20),
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -16,7 +16,9 @@
     forward::registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch},
     membership::instance::{Instance, InstanceRole},
     observe::{counters::Counters, log::discard_logger},
+    proto::flow as wire,
 };
+use prost::Message;
 use tokio::{sync::mpsc, time};
 
 /// Contents of the store that a copy holds.
@@ -382,6 +384,49 @@
     assert_eq!(route_versions(&mut receiver), [3]);
 }
 
+// An entry under a foreign key makes its readers believe that the instance it names is registered, and
+// one with long names makes a list of instances that does not fit into a datagram.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_names_another_instance_or_is_too_long_is_ignored() {
+    let store = FakeStore::default();
+    let entry = |key: &str, name: &str, failure_domain: &str| {
+        let message = wire::Instance {
+            name: name.into(),
+            failure_domain: failure_domain.into(),
+            role: wire::Role::Agent.into(),
+            ip: 0x0a00_0002,
+            packet_port: 8_000,
+            control_port: 7_000,
+            incarnation: 1,
+        };
+        Entry {
+            key: format!("bamboowind/instances/{key}").into(),
+            value: message.encode_to_vec(),
+            revision: Revision(1),
+        }
+    };
+    let long = "x".repeat(60_000);
+    store.update(|state| {
+        state.instances = vec![
+            (0, entry("agent-1", "agent-1", "a")),
+            (0, entry("odd", "agent-2", "a")),
+            (0, entry("agent-3", "agent-3", &long)),
+            (0, entry(&long, &long, "a")),
+        ];
+    });
+    let (registrar, mut receiver) = registrar(&store);
+    let (lease, _lease_receiver) = tokio::sync::watch::channel(None);
+    tokio::spawn(registrar.maintain_registration(lease));
+    time::sleep(Duration::from_secs(1)).await;
+    let updates = std::iter::from_fn(|| receiver.try_recv().ok());
+    let listed = updates.filter_map(|update| match update {
+        ClusterUpdate::Instances(listing) => Some(listing.value),
+        ClusterUpdate::StoreReached | ClusterUpdate::Routes(_) => None,
+    });
+    let names: Vec<_> = listed.flatten().map(|i| i.name.to_string()).collect();
+    assert_eq!(names, ["agent-1", "balancer-1"]);
+}
+
 /// Restores a store whose revisions then exceed those of the lost contents, with routes 8 among the
 /// changes, while the registrar watches from the lost revision.
 async fn restore_past_the_watched_revision(store: &FakeStore) {
