--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -253,9 +253,8 @@
             .await?;
         connectivity.mark_reached(&self.log);
         let mut revision = reading.store_revision;
-        if let Some(entry) = reading.entry {
-            self.handle_route_entry(&entry, era).await;
-        }
+        self.handle_route_changes(reading.entry.as_slice(), era)
+            .await;
         loop {
             if let RouteWatch::WhenNeeded(needed) = watch_mode
                 && !*needed.borrow()
@@ -289,29 +288,41 @@
                     revision: watched_revision,
                 } => {
                     revision = watched_revision;
-                    if let Some(entry) = entries.last() {
-                        self.handle_route_entry(entry, reply.era).await;
-                    }
+                    self.handle_route_changes(&entries, reply.era).await;
                 }
             }
             backoff.reset();
         }
     }
 
-    /// Decodes the route document and sends the routes as an update. A malformed document is
-    /// ignored.
-    async fn handle_route_entry(&self, entry: &Entry, era: StoreEra) {
+    /// Sends the routes of the newest change that can be decoded as an update. A watch also returns
+    /// changes of other keys with the same prefix.
+    async fn handle_route_changes(&self, entries: &[Entry], era: StoreEra) {
+        for entry in entries.iter().rev() {
+            // A change that cannot be read may have no key.
+            let may_be_document = *entry.key == *self.document.key() || entry.key.is_empty();
+            if may_be_document && self.handle_route_entry(entry, era).await {
+                return;
+            }
+        }
+    }
+
+    /// Decodes the route document and sends the routes as an update. Returns `false` if the document
+    /// is malformed and ignored.
+    async fn handle_route_entry(&self, entry: &Entry, era: StoreEra) -> bool {
         match self.document.decode(&entry.value) {
             Ok(routes) => {
                 info!(self.log, "routes read from the store"; "version" => routes.version().number,
                     "revision" => entry.revision.0, "era" => era.0);
                 let routes = Arc::new(routes.with_era(era));
                 self.send(ClusterUpdate::Routes(routes)).await;
+                true
             }
             Err(reason) => {
                 self.counters.count(Event::IgnoredReport);
                 warn!(self.log, "malformed route document ignored"; "key" => &*entry.key,
                     "revision" => entry.revision.0, "reason" => reason);
+                false
             }
         }
     }
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -41,6 +41,8 @@
     /// Oldest revision from which a watch can start.
     oldest_revision: u64,
     routes: Option<Entry>,
+    /// Entries that each watch returns after the one of the routes.
+    further_changes: Vec<Entry>,
     /// Instance entries with the lease that holds them.
     instances: Vec<(u64, Entry)>,
     /// Active leases.
@@ -57,6 +59,7 @@
             revision: 0,
             oldest_revision: 0,
             routes: None,
+            further_changes: Vec::new(),
             instances: Vec::new(),
             leases: Vec::new(),
             calls: Vec::new(),
@@ -171,7 +174,7 @@
                 {
                     let changes = PrefixChanges::Written {
                         revision: entry.revision,
-                        entries: vec![entry],
+                        entries: [vec![entry], state.further_changes.clone()].concat(),
                     };
                     return reply(&state, changes);
                 }
@@ -384,6 +387,27 @@
     assert_eq!(route_versions(&mut receiver), [3]);
 }
 
+// What another writer has put beside the routes hides the change that was watched for.
+#[tokio::test(start_paused = true)]
+async fn an_odd_change_beside_the_routes_does_not_hide_them() {
+    let store = FakeStore::default();
+    store.set_routes(1);
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_millis(100)).await;
+    let entry = |key: &str, value: &[u8]| Entry {
+        key: key.into(),
+        value: value.to_vec(),
+        revision: Revision(9),
+    };
+    store.update(|state| {
+        state.further_changes = vec![entry("routes-of-others", b"77"), entry("", b"")];
+    });
+    store.set_routes(3);
+    time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(route_versions(&mut receiver), [1, 3]);
+}
+
 // An entry under a foreign key makes its readers believe that the instance it names is registered, and
 // one with long names makes a list of instances that does not fit into a datagram.
 #[tokio::test(start_paused = true)]
