Put the readable routes of a configuration into force

Cause: the operator's document was decoded as a whole. A number out of range or a field of another type in one route failed it, and all processes stayed on the version before, for all routes, with one log line.

Decision: the routes that can be read come into force, also beside odd ones. What callers of the other routes were promised does not depend on a route that nobody can read. A route without a readable address or service is left out; a priority or target latency that cannot be read gets its default; without a readable version or list of routes the version before stays in force, as before. Keeping the earlier form of an odd route was not chosen: processes that start later do not know it, so they would differ. Each is logged (at most ten lines a version) and counted.

Tests, failed before: an_odd_route_does_not_hide_the_others (seven odd values in each field), a_configuration_without_a_version_or_routes_is_rejected (for odd limits). Guards: odd_values_in_a_heartbeat_are_rejected_or_applied, and on real processes odd_entries_and_routes_end_no_process_and_hide_no_instance (its odd routes failed before, see above; its odd entries did not: contents of entries were decoded one by one).

--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -17,7 +17,7 @@
         Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, StoreEra, StoreError, StoreReply,
     },
     control::store_era::SharedStoreEra,
-    flow::routes::RouteTable,
+    flow::routes::{RouteTable, RouteVersion},
     membership::{
         directory::{LEASE_TTL_MS, REGISTERED_AGAIN_MS},
         instance::Instance,
@@ -42,6 +42,9 @@
 const MIN_BACKOFF_MS: u64 = 50;
 const MAX_BACKOFF_MS: u64 = 1_500;
 
+/// Maximum number of log lines about what could not be read in a route document.
+const MAX_IGNORED_LINES: usize = 10;
+
 /// An update from the store, or from another instance in the case of routes.
 #[derive(Debug)]
 pub enum ClusterUpdate {
@@ -58,12 +61,28 @@
     /// Key of the document in the store.
     fn key(&self) -> &'static str;
 
-    /// Decodes the document into a route table.
+    /// Decodes the document into a route table. A route that cannot be read does not hide the others.
     ///
     /// # Errors
     ///
-    /// Returns a description of what is wrong with the document.
-    fn decode(&self, document: &[u8]) -> Result<RouteTable, String>;
+    /// Returns a description of what is wrong with the document as a whole.
+    fn decode(&self, document: &[u8]) -> Result<DecodedRoutes, String>;
+}
+
+/// A route table as decoded from a document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DecodedRoutes {
+    /// The routes that could be read.
+    pub table: RouteTable,
+    /// What could not be read, one line for each route or field that was ignored.
+    pub ignored: Vec<String>,
+}
+
+impl From<RouteTable> for DecodedRoutes {
+    fn from(table: RouteTable) -> Self {
+        let ignored = Vec::new();
+        Self { table, ignored }
+    }
 }
 
 /// When a process watches the routes in the store.
@@ -311,7 +330,11 @@
     /// is malformed and ignored.
     async fn handle_route_entry(&self, entry: &Entry, era: StoreEra) -> bool {
         match self.document.decode(&entry.value) {
-            Ok(routes) => {
+            Ok(DecodedRoutes {
+                table: routes,
+                ignored,
+            }) => {
+                self.log_ignored(&ignored, routes.version());
                 info!(self.log, "routes read from the store"; "version" => routes.version().number,
                     "revision" => entry.revision.0, "era" => era.0);
                 let routes = Arc::new(routes.with_era(era));
@@ -327,6 +350,17 @@
         }
     }
 
+    /// Counts and logs what a document holds that could not be read.
+    fn log_ignored(&self, ignored: &[String], version: RouteVersion) {
+        for (index, reason) in ignored.iter().enumerate() {
+            self.counters.count(Event::IgnoredReport);
+            if index < MAX_IGNORED_LINES {
+                warn!(self.log, "malformed route ignored"; "version" => version.number,
+                    "reason" => reason, "ignored" => ignored.len());
+            }
+        }
+    }
+
     /// Waits until an era newer than `era` is known.
     async fn restored_since(&self, era: StoreEra) {
         // Fails only if the sender is gone, which `self` holds.
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -173,7 +173,120 @@
         {"name":"b","host":"198.18.0.2","prefix":"/443/","service":"two"},
         {"name":"c","host":"not an address","prefix":"/1/","service":"two"}],
         "limits":{"idle_timeout_ms":15000}}"#;
-    insta::assert_debug_snapshot!(routes::OperatorConfig.decode(document).unwrap());
+    insta::assert_debug_snapshot!(routes::OperatorConfig.decode(document).unwrap().table);
+}
+
+/// JSON values of the wrong type, out of range or nested deeply.
+fn odd_values() -> Vec<(&'static str, String)> {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    vec![
+        ("nested", nested),
+        ("2^64", "18446744073709551616".to_owned()),
+        ("1e999", "1e999".to_owned()),
+        ("-1", "-1".to_owned()),
+        ("null", "null".to_owned()),
+        ("text", r#""odd""#.to_owned()),
+        ("object", "{}".to_owned()),
+    ]
+}
+
+// One odd route makes every balancer stay on the version before, for all routes.
+#[test]
+fn an_odd_route_does_not_hide_the_others() {
+    let sound = r#"{"name":"b","host":"198.18.0.2","prefix":"/443/","service":"two","priority":1}"#;
+    let fields = [
+        ("host", r#""198.18.0.1""#),
+        ("prefix", r#""/8443/""#),
+        ("service", r#""one""#),
+        ("backends", r#"[{"service":"one","weight":90}]"#),
+        ("target_latency_ms", "200"),
+        ("priority", "2"),
+    ];
+    let mut results = Vec::new();
+    let mut decode = |what: String, odd: &str| {
+        let document = format!(r#"{{"version":7,"routes":[{odd},{sound}]}}"#);
+        let decoded = routes::OperatorConfig.decode(document.as_bytes());
+        let decoded = decoded.unwrap_or_else(|error| panic!("{what}: {error}"));
+        let address = "198.18.0.2:443".parse().unwrap();
+        let service = decoded.table.service(address, 0);
+        assert_eq!(service.as_deref(), Some("two"), "{what}");
+        let len = decoded.table.len();
+        results.push(format!(
+            "{what}: {len} routes, ignored {:?}",
+            decoded.ignored
+        ));
+    };
+    for (name, odd) in odd_values() {
+        decode(format!("route {name}"), &odd);
+        for (changed, _) in fields {
+            let fields = fields.map(|(field, value)| {
+                let value = if field == changed { &odd } else { value };
+                format!(r#""{field}":{value}"#)
+            });
+            decode(
+                format!("{changed} {name}"),
+                &format!("{{{}}}", fields.join(",")),
+            );
+        }
+    }
+    let port = r#"{"host":"198.18.0.1","prefix":"/65536/","service":"one"}"#;
+    decode("port out of range".to_owned(), port);
+    insta::assert_snapshot!(results.join("\n"));
+}
+
+// Without a version or a list of routes there is nothing to put into force.
+#[test]
+fn a_configuration_without_a_version_or_routes_is_rejected() {
+    for (name, odd) in odd_values() {
+        let mut documents = vec![format!(r#"{{"version":{odd},"routes":[]}}"#), odd.clone()];
+        // A list in a list is a list with an odd route.
+        if name != "nested" {
+            documents.push(format!(r#"{{"version":7,"routes":{odd}}}"#));
+        }
+        for document in documents {
+            assert!(
+                routes::OperatorConfig.decode(document.as_bytes()).is_err(),
+                "{name}"
+            );
+        }
+        let document = format!(r#"{{"version":7,"routes":[],"limits":{odd},"extra":{odd}}}"#);
+        let decoded = routes::OperatorConfig.decode(document.as_bytes());
+        assert_eq!(decoded.unwrap().table.version().number, 7, "{name}");
+    }
+}
+
+#[test]
+fn odd_values_in_a_heartbeat_are_rejected_or_applied() {
+    let target = "10.1.0.12:8165".parse().unwrap();
+    let fields = [
+        ("service", r#""s""#),
+        ("address", r#""10.1.0.12:8165""#),
+        ("capacity", "5"),
+        ("state", r#""ready""#),
+        ("warmup_left_ms", "0"),
+        ("seq", "4"),
+        ("born", "1769000000000"),
+    ];
+    for (name, odd) in odd_values() {
+        for (changed, _) in fields {
+            let fields = fields.map(|(field, value)| {
+                let value = if field == changed { &odd } else { value };
+                format!(r#""{field}":{value}"#)
+            });
+            let body = format!("{{{}}}", fields.join(","));
+            let result = http::decode_heartbeat("i-1", body.as_bytes(), target);
+            let is_name = changed == "service" && name == "text";
+            assert_eq!(result.is_ok(), is_name, "{changed} {name}: {result:?}");
+        }
+        let body = format!(
+            r#"{{"service":"s","address":"10.1.0.12:8165","capacity":5,
+            "state":"ready","warmup_left_ms":0,"seq":4,"unknown":{odd}}}"#
+        );
+        assert!(
+            http::decode_heartbeat("i-1", body.as_bytes(), target).is_ok(),
+            "{name}"
+        );
+    }
 }
 
 #[test]
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -211,6 +211,11 @@
         assert!(status.unwrap().success());
     }
 
+    /// Whether the process has ended.
+    fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     fn log_lines(&self) -> Vec<Value> {
         let text = std::fs::read_to_string(&self.log_path).unwrap();
         let lines = text
@@ -633,6 +638,66 @@
     assert!(restored_at.elapsed() < IN_FORCE_WITHIN);
 }
 
+// Odd entries among those of the instances and odd routes: processes that read them, also those that start
+// beside them, go on, know each other and serve new flows.
+#[test]
+fn odd_entries_and_routes_end_no_process_and_hide_no_instance() {
+    let cluster = Cluster::new();
+    let nested = format!("{}{}", "[".repeat(10_000), "]".repeat(10_000));
+    let port_out_of_range = [
+        &b"\x0a\x05odd-1\x11\x01\0\0\0\0\0\0\0\x18\x02\x2d\x02\0\0\x7f"[..],
+        b"\x30\xff\xff\xff\xff\x0f\x38\x01",
+    ]
+    .concat();
+    let values = [
+        BASE64_STANDARD.encode(nested),
+        BASE64_STANDARD.encode(port_out_of_range),
+        BASE64_STANDARD.encode("\u{0}".repeat(100_000)),
+        "%".to_owned(),
+        String::new(),
+    ];
+    let add_entries = |round: usize| {
+        let mut state = cluster.store.lock().unwrap();
+        for (index, value) in values.iter().enumerate() {
+            state.revision += 1;
+            let key = format!("bamboowind/instances/odd-{round}-{index}");
+            let revision = state.revision;
+            state.items.push((key, value.clone(), revision));
+        }
+    };
+    add_entries(1);
+    let balancer = cluster.start("balancer", 1);
+    let agents = [11, 12].map(|host| cluster.start("agent", host));
+    for host in [11, 12] {
+        cluster.start_target(host);
+    }
+    Cluster::wait_for("readiness", || cluster.is_ready(1));
+    add_entries(2);
+    let address = service_address();
+    let (host, prefix) = (address.ip().to_string(), format!("/{}/", address.port()));
+    let routes = json!([
+        { "host": host, "prefix": "/65536/", "service": SERVICE },
+        { "host": host, "prefix": [], "service": SERVICE, "priority": -1 },
+        { "host": host, "prefix": prefix, "service": SERVICE, "priority": 1e300 },
+        7,
+    ]);
+    write_config(&cluster.store, 2, &routes);
+    Cluster::wait_for("the version with odd routes", || {
+        let lines = balancer.log_lines();
+        let mut updates = lines.iter().filter(|line| line["msg"] == "routes updated");
+        updates.any(|line| line["version"] == 2 && line["routes"] == 1)
+    });
+    cluster.send_until_response(1, 1_001, OPEN, SYN | ACK);
+    let started = [cluster.start("balancer", 2), cluster.start("agent", 13)];
+    cluster.start_target(13);
+    Cluster::wait_for("readiness", || cluster.is_ready(2));
+    cluster.send_until_response(2, 1_002, OPEN, SYN | ACK);
+    for mut daemon in agents.into_iter().chain(started).chain([balancer]) {
+        assert!(!daemon.has_exited());
+        assert!(daemon.has_log_line("malformed instance entry ignored"));
+    }
+}
+
 #[test]
 fn help_and_command_line_errors() {
     let run = |arguments: &[&str]| {
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -13,7 +13,7 @@
     },
     control::store_era::SharedStoreEra,
     flow::routes::RouteTable,
-    forward::registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch},
+    forward::registrar::{ClusterUpdate, DecodedRoutes, Registrar, RouteDocument, RouteWatch},
     membership::instance::{Instance, InstanceRole},
     observe::{counters::Counters, log::discard_logger},
     proto::flow as wire,
@@ -236,10 +236,10 @@
         "routes"
     }
 
-    fn decode(&self, document: &[u8]) -> Result<RouteTable, String> {
+    fn decode(&self, document: &[u8]) -> Result<DecodedRoutes, String> {
         let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
         let version = text.parse().map_err(|_| "not a number".to_owned())?;
-        Ok(RouteTable::new(version, Vec::new()))
+        Ok(RouteTable::new(version, Vec::new()).into())
     }
 }
 
