Check overlapping series of restarts as a property

This one stops all agents once while flows are idle, and then agents and balancers in up to three series that overlap, while callers go on and retransmit.

--- a/tests/odd_numbers.rs
+++ b/tests/odd_numbers.rs
@@ -22,7 +22,9 @@
 use proptest::prelude::*;
 use prost::Message;
 use rand::SeedableRng;
-use simulation::{ACK, SERVICE, SYN, Simulation, caller, packet::PlatformPacket, syn};
+use simulation::{
+    ACK, SERVICE, SYN, Simulation, caller, packet::PlatformPacket, schedule::share_of_cases, syn,
+};
 
 const BALANCERS: u8 = 2;
 const AGENTS: u8 = 3;
@@ -162,7 +164,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 128, ..simulation::schedule::fixed_cases() })]
+    #![proptest_config(share_of_cases(2))]
 
     // A sum of figures that a neighbour or a target has sent exceeds its type.
     #[test]
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -6,8 +6,12 @@
 use bamboowind::{
     flow::packet::{HopMetadata, Lookup},
     forward::notices::{Notice, OwnerEvidence},
+    membership::directory::LEAVE_GRACE_MS,
+};
+use proptest::prelude::*;
+use simulation::{
+    ACK, Simulation, caller, datagram, flow, schedule::share_of_cases, service_address,
 };
-use simulation::{ACK, Simulation, caller, datagram, flow, service_address};
 
 const AGENTS: u8 = 6;
 
@@ -179,3 +183,167 @@
     assert!(!sim.was_reset(number), "the target holds the flow");
     assert_eq!(sim.request_count(number), 1);
 }
+
+/// Delays between the transmissions of a caller's request, in milliseconds.
+const RETRANSMISSION_DELAYS_MS: [u64; 6] = [200, 400, 800, 1_600, 1_600, 1_600];
+/// Time for which the packets of an open flow may reach other targets only.
+const MAX_ASTRAY_MS: u64 = 2_000;
+/// Number of such packets from which that time counts.
+const MIN_ASTRAY_PACKETS: usize = 3;
+/// Time from the exit of an agent to its next start.
+const RESTART_DELAY_MS: u64 = 500;
+
+/// A series of stops, one process after another.
+#[derive(Clone, Debug)]
+struct Series {
+    /// Time of the first stop, in milliseconds.
+    starts_at_ms: u64,
+    /// Time between two stops, in milliseconds.
+    gap_ms: u64,
+    /// Processes in the order in which they are stopped: agents, and balancers from the number of
+    /// agents on.
+    order: Vec<usize>,
+}
+
+impl Series {
+    fn stops(&self) -> impl Iterator<Item = (u64, usize)> + '_ {
+        let order = self.order.iter().zip(0_u64..);
+        order.map(|(process, rank)| (self.starts_at_ms + rank * self.gap_ms, *process))
+    }
+}
+
+/// A series over all agents while the flows are idle, and up to three that overlap while their callers go
+/// on. The number of agents comes first.
+fn overlapping_series() -> impl Strategy<Value = (u8, Vec<Series>)> {
+    prop::sample::select(vec![3_u8, 6]).prop_flat_map(|agents| {
+        let processes: Vec<usize> = (0..usize::from(agents) + 2).collect();
+        let gap_ms = prop::sample::select(vec![330, 500, 1_000, 1_000]);
+        let series = (0..2_000_u64, gap_ms, Just(processes).prop_shuffle());
+        let first = (0..usize::from(agents)).collect();
+        let first = Series {
+            starts_at_ms: 0,
+            gap_ms: 1_000,
+            order: first,
+        };
+        let idle_ms = 1_000 * u64::from(agents) + 2_000;
+        let later = prop::collection::vec(series, 1..4).prop_map(move |later| {
+            let later = later
+                .into_iter()
+                .map(|(starts_at_ms, gap_ms, order)| Series {
+                    starts_at_ms: idle_ms + starts_at_ms,
+                    gap_ms,
+                    order,
+                });
+            std::iter::once(first.clone()).chain(later).collect()
+        });
+        (Just(agents), later)
+    })
+}
+
+/// A caller's request on an open flow, which is sent again until it reaches its target.
+struct Request {
+    number: u16,
+    due_ms: u64,
+    transmissions: usize,
+    /// Times of the transmissions that reached other targets only.
+    astray_at_ms: Vec<u64>,
+}
+
+impl Request {
+    /// Sends the request through a balancer if it is due. Returns whether its target has it.
+    fn send(&mut self, sim: &mut Simulation, balancer: usize) -> bool {
+        let now_ms = sim.now_ms;
+        if now_ms < self.due_ms {
+            return false;
+        }
+        let counts = |sim: &Simulation| {
+            (
+                sim.request_count(self.number),
+                sim.denied_count(self.number),
+            )
+        };
+        let before = counts(sim);
+        sim.send_from_caller(balancer, sim.request(self.number));
+        let after = counts(sim);
+        if after.0 > before.0 {
+            return true;
+        }
+        if after.1 > before.1 {
+            self.astray_at_ms.push(now_ms);
+        }
+        let delay_ms = RETRANSMISSION_DELAYS_MS
+            .get(self.transmissions)
+            .unwrap_or(&1_600);
+        self.transmissions += 1;
+        self.due_ms = now_ms + delay_ms;
+        false
+    }
+
+    fn is_astray(&self) -> bool {
+        let times = self.astray_at_ms.first().zip(self.astray_at_ms.last());
+        let span_ms = times.map_or(0, |(first_ms, last_ms)| last_ms - first_ms);
+        self.astray_at_ms.len() >= MIN_ASTRAY_PACKETS && span_ms >= MAX_ASTRAY_MS
+    }
+}
+
+/// Restarts agents and balancers in series while the callers of idle flows go on, `pace_ms` one after
+/// the other. Returns the flows whose packets went astray, with the times of these packets.
+fn run_series(agents: u8, series: &[Series], pace_ms: u64) -> Vec<(u16, Vec<u64>)> {
+    const FLOWS: u16 = 24;
+    let mut sim = Simulation::new(2, agents, 5, 20);
+    (0..FLOWS).for_each(|number| {
+        sim.open_flow(0, number);
+    });
+    sim.advance(1_000);
+    let start_ms = sim.now_ms;
+    let mut stops: Vec<_> = series.iter().flat_map(Series::stops).collect();
+    let idle_until_ms = start_ms + series[1..].iter().map(|s| s.starts_at_ms).min().unwrap();
+    let mut requests: Vec<_> = (0..FLOWS)
+        .map(|number| Request {
+            number,
+            due_ms: idle_until_ms + u64::from(number) * pace_ms,
+            transmissions: 0,
+            astray_at_ms: Vec::new(),
+        })
+        .collect();
+    let mut starts: Vec<(u64, usize)> = Vec::new();
+    let mut astray = Vec::new();
+    while !requests.is_empty() || !starts.is_empty() {
+        sim.advance(10);
+        let now_ms = sim.now_ms;
+        for (_, index) in starts.extract_if(.., |(at_ms, _)| *at_ms <= now_ms) {
+            sim.restart_agent(index);
+        }
+        for (_, process) in stops.extract_if(.., |(at_ms, _)| start_ms + *at_ms <= now_ms) {
+            match process.checked_sub(usize::from(agents)) {
+                Some(balancer) => sim.restart_balancer(balancer),
+                None if starts.iter().any(|(_, index)| *index == process) => {}
+                None => {
+                    sim.stop_agent(process);
+                    starts.push((now_ms + LEAVE_GRACE_MS + RESTART_DELAY_MS, process));
+                }
+            }
+        }
+        let balancer = usize::try_from(now_ms / 10 % 2).unwrap();
+        requests.retain_mut(|request| !request.send(&mut sim, balancer));
+        for request in requests.extract_if(.., |request| request.is_astray()) {
+            astray.push((request.number, request.astray_at_ms));
+        }
+    }
+    astray
+}
+
+proptest! {
+    #![proptest_config(share_of_cases(5))]
+
+    // Agents are stopped again before they have learned of their flows, and all that store an owner are
+    // restarted one after the other.
+    #[test]
+    fn no_series_of_restarts_leads_packets_of_open_flows_astray(
+        (agents, series) in overlapping_series(),
+        pace_ms in 10..400_u64,
+    ) {
+        let astray = run_series(agents, &series, pace_ms);
+        prop_assert!(astray.is_empty(), "{:?}", astray);
+    }
+}
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -312,3 +312,12 @@
     };
     ProptestConfig { rng_seed, ..config }
 }
+
+/// Like [`fixed_cases`], with the number of cases divided by `divisor`, for cases that take long.
+pub fn share_of_cases(divisor: u32) -> ProptestConfig {
+    let config = fixed_cases();
+    ProptestConfig {
+        cases: config.cases / divisor,
+        ..config
+    }
+}
