--- a/tests/reset_model.rs
+++ b/tests/reset_model.rs
@@ -44,6 +44,7 @@
             2 => (0..BALANCERS).prop_map(Event::RestartBalancer),
             2 => agent.clone().prop_map(Event::RestartAgent),
             2 => agent.clone().prop_map(Event::LeaveOrReturn),
+            3 => agent.clone().prop_map(Event::StopOrReturn),
             2 => path.clone().prop_map(|(agent, to)| Event::LoseNotices(agent, to)),
             1 => path.prop_map(|(agent, to)| Event::DelayNotices(agent, to)),
             2 => agent.clone().prop_map(Event::RestartTarget),
@@ -60,7 +61,7 @@
         match event {
             // A stopped process neither freezes nor restarts, and a frozen one does not stop.
             Event::RestartAgent(index) | Event::Freeze(index) => state.is_up[*index],
-            Event::LeaveOrReturn(index) => !state.is_frozen[*index],
+            Event::LeaveOrReturn(index) | Event::StopOrReturn(index) => !state.is_frozen[*index],
             _ => true,
         }
     }
@@ -68,7 +69,9 @@
     fn apply(mut state: Self, event: &Event) -> Self {
         match event {
             Event::RestartAgent(index) => state.is_frozen[*index] = false,
-            Event::LeaveOrReturn(index) => state.is_up[*index] ^= true,
+            Event::LeaveOrReturn(index) | Event::StopOrReturn(index) => {
+                state.is_up[*index] ^= true;
+            }
             Event::Freeze(index) => state.is_frozen[*index] ^= true,
             _ => {}
         }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -296,6 +296,11 @@
 }
 
 impl SimulatedAgent {
+    /// Whether the agent process has announced its exit and has not started again since.
+    pub fn is_stopping(&self) -> bool {
+        self.exits_at_ms.is_some()
+    }
+
     /// Whether packets wait for the frozen agent process to read them.
     pub fn has_unread_packets(&self) -> bool {
         let mut unread = self.unread.iter();
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -21,6 +21,9 @@
     RestartAgent(usize),
     /// An agent announces its exit and stops, or starts again if it is stopped.
     LeaveOrReturn(usize),
+    /// An agent announces its exit, forwards for a while and exits, or starts again if it has
+    /// announced that.
+    StopOrReturn(usize),
     /// The notices of an agent to a balancer (below 3) or an agent (the others) are lost, or arrive
     /// again.
     LoseNotices(usize, usize),
@@ -47,6 +50,7 @@
         match self {
             Self::RestartAgent(index) => Self::RestartAgent(index % agents),
             Self::LeaveOrReturn(index) => Self::LeaveOrReturn(index % agents),
+            Self::StopOrReturn(index) => Self::StopOrReturn(index % agents),
             Self::LoseNotices(index, receiver) => {
                 Self::LoseNotices(index % agents, receiver % (3 + agents))
             }
@@ -174,7 +178,9 @@
         let event = event.modulo(self.sim.agents.len());
         let starts_process = match event {
             Event::RestartBalancer(_) | Event::RestartAgent(_) => true,
-            Event::LeaveOrReturn(index) => !self.sim.agents[index].is_up,
+            Event::LeaveOrReturn(index) | Event::StopOrReturn(index) => {
+                self.sim.agents[index].is_stopping()
+            }
             _ => false,
         };
         self.apply_now(event)?;
@@ -204,8 +210,13 @@
                 }
             }
             Event::RestartBalancer(index) => sim.restart_balancer(index % 3),
-            Event::LeaveOrReturn(index) if sim.agents[index].is_up => sim.leave_agent(index),
-            Event::RestartAgent(index) | Event::LeaveOrReturn(index) => sim.restart_agent(index),
+            Event::LeaveOrReturn(index) if !sim.agents[index].is_stopping() => {
+                sim.leave_agent(index);
+            }
+            Event::StopOrReturn(index) if !sim.agents[index].is_stopping() => sim.stop_agent(index),
+            Event::RestartAgent(index)
+            | Event::LeaveOrReturn(index)
+            | Event::StopOrReturn(index) => sim.restart_agent(index),
             Event::LoseNotices(index, receiver) => {
                 let pair = notice_path(sim, index, receiver);
                 if !sim.lost_notices.remove(&pair) {
