Compare sequence numbers without a sum that can overflow

Near 2^64 a build with overflow checks ends ('attempt to add with overflow') and a release build refuses the datagram.

Test, failed before: sequence_numbers_at_the_end_of_their_range_are_accepted_once.

--- a/src/wire/replay.rs
+++ b/src/wire/replay.rs
@@ -29,7 +29,7 @@
     }
 
     fn accept(&mut self, sequence: u64) -> bool {
-        if sequence + WINDOW_LEN <= self.highest {
+        if self.highest.saturating_sub(sequence) >= WINDOW_LEN {
             return false;
         }
         if sequence > self.highest {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -159,6 +159,25 @@
         }
     }
 
+    // The sum of a sequence number and the length of the window exceeds its type.
+    #[test]
+    fn sequence_numbers_at_the_end_of_their_range_are_accepted_once(
+        distances in prop::collection::vec(0..2_000_u64, 1..200),
+    ) {
+        let mut filter = ReplayFilter::new(1);
+        let mut accepted = Vec::new();
+        for distance in distances {
+            let sequence = u64::MAX - distance;
+            let highest = accepted.iter().max().copied();
+            if filter.accept(9, sequence) {
+                prop_assert!(!accepted.contains(&sequence));
+                accepted.push(sequence);
+            } else {
+                prop_assert!(accepted.contains(&sequence) || highest.unwrap() - sequence >= 1_024);
+            }
+        }
+    }
+
     #[test]
     fn recent_sequence_numbers_are_accepted_in_any_order(
         order in Just((1..=1000_u64).collect::<Vec<_>>()).prop_shuffle(),
