Send recovered owners in a notice of their own

A process of an earlier build ignores fields that it does not know, so it would take a recovered owner for a registered one, and the denial of that owner would reset the flow. While processes are replaced one by one that is a reset without proof. It ignores a notice whose body it does not know.

Test, failed before (it names the field): a_recovered_owner_is_not_sent_as_a_registered_one. The encoding is all that changes.

--- a/src/forward/agent/mod.rs
+++ b/src/forward/agent/mod.rs
@@ -1,9 +1,8 @@
 //! The agent: forwards packets between balancers, other agents and its local target.
 //!
-//! [`core`] holds its state and handles packets, with [`syn`] for the opening of flows and
-//! [`lookup`] for flows that the target is not known to hold and [`recovery`] for what is known of them
-//! across restarts. They do no I/O. [`driver`] runs them on
-//! sockets.
+//! [`core`] holds its state and handles packets, with [`syn`] for the opening of flows, [`lookup`] for
+//! flows that the target is not known to hold, and [`recovery`] for what is known of flows across
+//! restarts. They do no I/O. [`driver`] runs them on sockets.
 
 pub mod core;
 pub mod driver;
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -75,12 +75,17 @@
                 owner,
                 flows,
                 evidence,
-            } => Body::FlowOwner(wire::FlowOwner {
-                owner_ip: (*owner.ip()).into(),
-                owner_port: owner.port().into(),
-                flows: flows.iter().map(flow_message).collect(),
-                is_recovered: *evidence == OwnerEvidence::Recovered,
-            }),
+            } => {
+                let message = wire::FlowOwner {
+                    owner_ip: (*owner.ip()).into(),
+                    owner_port: owner.port().into(),
+                    flows: flows.iter().map(flow_message).collect(),
+                };
+                match evidence {
+                    OwnerEvidence::Registered => Body::FlowOwner(message),
+                    OwnerEvidence::Recovered => Body::RecoveredFlowOwner(message),
+                }
+            }
             Self::Members(instances) => Body::Members(wire::Members {
                 instances: instances.iter().map(Instance::to_message).collect(),
             }),
@@ -112,15 +117,8 @@
                 presence.wants_members,
             ),
             Body::Load(load) => Self::Load(TargetLoad::from_message(&load)),
-            Body::FlowOwner(notice) => Self::FlowOwner {
-                owner: address(notice.owner_ip, notice.owner_port)?,
-                flows: notice.flows.iter().filter_map(flow_key).collect(),
-                evidence: if notice.is_recovered {
-                    OwnerEvidence::Recovered
-                } else {
-                    OwnerEvidence::Registered
-                },
-            },
+            Body::FlowOwner(message) => flow_owner(&message, OwnerEvidence::Registered)?,
+            Body::RecoveredFlowOwner(message) => flow_owner(&message, OwnerEvidence::Recovered)?,
             Body::SlotRequest(_) => Self::SlotRequest,
             Body::SlotGrant(_) => Self::SlotGrant,
             Body::Members(members) => {
@@ -131,6 +129,14 @@
     }
 }
 
+fn flow_owner(message: &wire::FlowOwner, evidence: OwnerEvidence) -> Option<Notice> {
+    Some(Notice::FlowOwner {
+        owner: address(message.owner_ip, message.owner_port)?,
+        flows: message.flows.iter().filter_map(flow_key).collect(),
+        evidence,
+    })
+}
+
 fn flow_message(flow: &FlowKey) -> wire::Flow {
     wire::Flow {
         caller_ip: (*flow.caller.ip()).into(),
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -2,7 +2,7 @@
 /// Content of a datagram to a control address.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Notice {
-    #[prost(oneof = "notice::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "notice::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: ::core::option::Option<notice::Body>,
 }
 /// Nested message and enum types in `Notice`.
@@ -27,6 +27,11 @@
         /// Reservation of a free slot of the sender's target for the receiver.
         #[prost(message, tag = "6")]
         SlotGrant(super::SlotGrant),
+        /// Flows that an earlier incarnation of their owner has registered, from the owner itself or from
+        /// another agent. It tells where a flow is to be looked for, but is no proof that it was opened there,
+        /// for which earlier builds would take it as a field of `flow_owner`.
+        #[prost(message, tag = "7")]
+        RecoveredFlowOwner(super::FlowOwner),
     }
 }
 /// Identity and addresses of an instance, as announced by the instance itself.
@@ -142,10 +147,6 @@
     /// The flows.
     #[prost(message, repeated, tag = "3")]
     pub flows: ::prost::alloc::vec::Vec<Flow>,
-    /// Whether the owner itself has not seen these flows since its start, or another agent passes them on.
-    /// Such a registration tells where a flow is to be looked for, but is no proof that it was opened there.
-    #[prost(bool, tag = "4")]
-    pub is_recovered: bool,
 }
 /// Addresses that identify a flow.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -184,6 +184,24 @@
     assert_eq!(sim.request_count(number), 1);
 }
 
+// While processes are replaced one by one, an earlier build would take a recovered owner for a registered
+// one, whose denial resets the flow. It ignores notices with a body that it does not know.
+#[test]
+fn a_recovered_owner_is_not_sent_as_a_registered_one() {
+    let [registered, recovered] =
+        [OwnerEvidence::Registered, OwnerEvidence::Recovered].map(|evidence| Notice::FlowOwner {
+            owner: "10.0.0.1:8000".parse().unwrap(),
+            flows: vec![flow(1)],
+            evidence,
+        });
+    for notice in [&registered, &recovered] {
+        assert_eq!(Notice::decode(&notice.encode()).as_ref(), Some(notice));
+    }
+    // The first byte of a message is the number of its field and the type of that.
+    let field = |notice: &Notice| notice.encode()[0] >> 3;
+    assert_eq!((field(&registered), field(&recovered)), (3, 7));
+}
+
 /// Delays between the transmissions of a caller's request, in milliseconds.
 const RETRANSMISSION_DELAYS_MS: [u64; 6] = [200, 400, 800, 1_600, 1_600, 1_600];
 /// Time for which the packets of an open flow may reach other targets only.
