--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -361,8 +361,8 @@
         }
     }
 
-    /// Handles a presence message and returns what has changed. Replies with a presence message if the sender is new, and with a
-    /// presence message and the known instances if it requests them.
+    /// Handles a presence message and returns what has changed. Replies with a presence message if
+    /// the sender is new, and with a presence message and the known instances if it requests them.
     pub fn handle_presence(
         &mut self,
         presence: Presence,
