--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -86,6 +86,16 @@
     }
 }
 
+/// Sends a request through a balancer that has just restarted, and checks that it reaches the target
+/// that holds the flow and no other.
+fn assert_sent_to_owner_alone(sim: &mut Simulation, number: u16) {
+    sim.restart_balancer(1);
+    sim.advance(100);
+    sim.send_from_caller(1, sim.request(number));
+    let counts = (sim.request_count(number), sim.denied_count(number));
+    assert_eq!(counts, (1, 0), "received by its target, returned by others");
+}
+
 // After every agent has restarted once, neither the registry agents nor the flow's own agent know an
 // idle flow from packets, so each of its packets is sent to the targets of other agents first.
 #[test]
@@ -94,13 +104,7 @@
     let (number, order) = sim.open_flow_with_owner_at(2);
     restart_in_turn(&mut sim, &order);
     restart_in_turn(&mut sim, &order);
-    sim.restart_balancer(1);
-    sim.advance(100);
-    sim.send_from_caller(1, sim.request(number));
-    assert_eq!(
-        (sim.request_count(number), sim.denied_count(number)),
-        (1, 0)
-    );
+    assert_sent_to_owner_alone(&mut sim, number);
 }
 
 // Both registry agents exit while the flow's own agent is away, and cannot return the flow to it.
@@ -115,13 +119,7 @@
     sim.stop_agent(order[1]);
     sim.advance(1_500);
     (0..3).for_each(|rank| sim.restart_agent(order[rank]));
-    sim.restart_balancer(1);
-    sim.advance(100);
-    sim.send_from_caller(1, sim.request(number));
-    assert_eq!(
-        (sim.request_count(number), sim.denied_count(number)),
-        (1, 0)
-    );
+    assert_sent_to_owner_alone(&mut sim, number);
 }
 
 // A flow that has ended is not passed on for ever: it is left out when its owner has registered its
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -968,20 +968,19 @@
 
     /// Number of requests of a flow that targets have received.
     pub fn request_count(&self, number: u16) -> usize {
-        let key = flow(number);
-        let targets = self.agents.iter().map(|agent| &agent.target);
-        targets
-            .map(|target| target.requests.iter().filter(|flow| **flow == key).count())
-            .sum()
+        self.count_at_targets(number, |target| &target.requests)
     }
 
     /// Number of packets of a flow that targets have returned.
     pub fn denied_count(&self, number: u16) -> usize {
+        self.count_at_targets(number, |target| &target.denied)
+    }
+
+    /// How often a flow occurs among these flows of each target.
+    fn count_at_targets(&self, number: u16, flows: fn(&SimulatedTarget) -> &[FlowKey]) -> usize {
         let key = flow(number);
-        let targets = self.agents.iter().map(|agent| &agent.target);
-        targets
-            .map(|target| target.denied.iter().filter(|flow| **flow == key).count())
-            .sum()
+        let flows = self.agents.iter().flat_map(|agent| flows(&agent.target));
+        flows.filter(|flow| **flow == key).count()
     }
 
     /// Whether the caller of a flow received a reset that it did not ignore.
