--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -177,7 +177,7 @@
 }
 
 /// JSON values of the wrong type, out of range or nested deeply.
-fn odd_values() -> Vec<(&'static str, String)> {
+fn malformed_values() -> Vec<(&'static str, String)> {
     let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
     vec![
         ("nested", nested),
@@ -190,9 +190,9 @@
     ]
 }
 
-// One odd route makes every balancer stay on the version before, for all routes.
+// One malformed route makes every balancer stay on the version before, for all routes.
 #[test]
-fn an_odd_route_does_not_hide_the_others() {
+fn a_malformed_route_does_not_hide_the_others() {
     let sound = r#"{"name":"b","host":"198.18.0.2","prefix":"/443/","service":"two","priority":1}"#;
     let fields = [
         ("host", r#""198.18.0.1""#),
@@ -203,8 +203,8 @@
         ("priority", "2"),
     ];
     let mut results = Vec::new();
-    let mut decode = |what: String, odd: &str| {
-        let document = format!(r#"{{"version":7,"routes":[{odd},{sound}]}}"#);
+    let mut decode = |what: String, malformed: &str| {
+        let document = format!(r#"{{"version":7,"routes":[{malformed},{sound}]}}"#);
         let decoded = routes::OperatorConfig.decode(document.as_bytes());
         let decoded = decoded.unwrap_or_else(|error| panic!("{what}: {error}"));
         let address = "198.18.0.2:443".parse().unwrap();
@@ -216,11 +216,11 @@
             decoded.ignored
         ));
     };
-    for (name, odd) in odd_values() {
-        decode(format!("route {name}"), &odd);
+    for (name, malformed) in malformed_values() {
+        decode(format!("route {name}"), &malformed);
         for (changed, _) in fields {
             let fields = fields.map(|(field, value)| {
-                let value = if field == changed { &odd } else { value };
+                let value = if field == changed { &malformed } else { value };
                 format!(r#""{field}":{value}"#)
             });
             decode(
@@ -237,11 +237,14 @@
 // Without a version or a list of routes there is nothing to put into force.
 #[test]
 fn a_configuration_without_a_version_or_routes_is_rejected() {
-    for (name, odd) in odd_values() {
-        let mut documents = vec![format!(r#"{{"version":{odd},"routes":[]}}"#), odd.clone()];
-        // A list in a list is a list with an odd route.
+    for (name, malformed) in malformed_values() {
+        let mut documents = vec![
+            format!(r#"{{"version":{malformed},"routes":[]}}"#),
+            malformed.clone(),
+        ];
+        // A list in a list is a list with a malformed route.
         if name != "nested" {
-            documents.push(format!(r#"{{"version":7,"routes":{odd}}}"#));
+            documents.push(format!(r#"{{"version":7,"routes":{malformed}}}"#));
         }
         for document in documents {
             assert!(
@@ -249,14 +252,15 @@
                 "{name}"
             );
         }
-        let document = format!(r#"{{"version":7,"routes":[],"limits":{odd},"extra":{odd}}}"#);
+        let document =
+            format!(r#"{{"version":7,"routes":[],"limits":{malformed},"extra":{malformed}}}"#);
         let decoded = routes::OperatorConfig.decode(document.as_bytes());
         assert_eq!(decoded.unwrap().table.version().number, 7, "{name}");
     }
 }
 
 #[test]
-fn odd_values_in_a_heartbeat_are_rejected_or_applied() {
+fn malformed_values_in_a_heartbeat_are_rejected_or_applied() {
     let target = "10.1.0.12:8165".parse().unwrap();
     let fields = [
         ("service", r#""s""#),
@@ -267,10 +271,10 @@
         ("seq", "4"),
         ("born", "1769000000000"),
     ];
-    for (name, odd) in odd_values() {
+    for (name, malformed) in malformed_values() {
         for (changed, _) in fields {
             let fields = fields.map(|(field, value)| {
-                let value = if field == changed { &odd } else { value };
+                let value = if field == changed { &malformed } else { value };
                 format!(r#""{field}":{value}"#)
             });
             let body = format!("{{{}}}", fields.join(","));
@@ -280,7 +284,7 @@
         }
         let body = format!(
             r#"{{"service":"s","address":"10.1.0.12:8165","capacity":5,
-            "state":"ready","warmup_left_ms":0,"seq":4,"unknown":{odd}}}"#
+            "state":"ready","warmup_left_ms":0,"seq":4,"unknown":{malformed}}}"#
         );
         assert!(
             http::decode_heartbeat("i-1", body.as_bytes(), target).is_ok(),
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -638,10 +638,10 @@
     assert!(restored_at.elapsed() < IN_FORCE_WITHIN);
 }
 
-// Odd entries among those of the instances and odd routes: processes that read them, also those that start
-// beside them, go on, know each other and serve new flows.
+// Malformed entries among those of the instances, and malformed routes: processes that read them, also
+// those that start beside them, go on, know each other and serve new flows.
 #[test]
-fn odd_entries_and_routes_end_no_process_and_hide_no_instance() {
+fn malformed_entries_and_routes_end_no_process_and_hide_no_instance() {
     let cluster = Cluster::new();
     let nested = format!("{}{}", "[".repeat(10_000), "]".repeat(10_000));
     let port_out_of_range = [
@@ -682,7 +682,7 @@
         7,
     ]);
     write_config(&cluster.store, 2, &routes);
-    Cluster::wait_for("the version with odd routes", || {
+    Cluster::wait_for("the version with malformed routes", || {
         let lines = balancer.log_lines();
         let mut updates = lines.iter().filter(|line| line["msg"] == "routes updated");
         updates.any(|line| line["version"] == 2 && line["routes"] == 1)
@@ -694,7 +694,7 @@
     cluster.send_until_response(2, 1_002, OPEN, SYN | ACK);
     for mut daemon in agents.into_iter().chain(started).chain([balancer]) {
         // A process that has just started may serve flows before it has read the list.
-        Cluster::wait_for("the log line of an odd entry", || {
+        Cluster::wait_for("the log line of a malformed entry", || {
             daemon.has_log_line("malformed instance entry ignored")
         });
         assert!(!daemon.has_exited());
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -1,5 +1,5 @@
-//! Tests of the client of the platform's store against replies that hold odd items: what cannot be
-//! read hides nothing else.
+//! Tests of the client of the platform's store against replies that hold malformed items: what cannot
+//! be read hides nothing else.
 #![allow(dead_code)] // Only a part of the included module is used.
 
 use std::{
@@ -15,8 +15,8 @@
 
 use store::PlatformStore;
 
-/// Items of a list that cannot be read, by what is odd about them.
-fn odd_items() -> Vec<(&'static str, String)> {
+/// Items of a list that cannot be read, with what is wrong with them.
+fn malformed_items() -> Vec<(&'static str, String)> {
     let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
     let item = |fields: &str| format!("{{{fields}}}");
     vec![
@@ -80,21 +80,24 @@
     }
 }
 
-// The machines that read a list with one odd item stop following it.
+// The machines that read a list with one malformed item stop following it.
 #[tokio::test]
-async fn an_odd_item_in_a_list_does_not_hide_the_others() {
+async fn a_malformed_item_in_a_list_does_not_hide_the_others() {
     let fixed = FixedStore::start().await;
     let store = PlatformStore::new(fixed.address).unwrap();
-    for (what, odd) in odd_items() {
-        for items in [format!("{odd},{SOUND_ITEM}"), format!("{SOUND_ITEM},{odd}")] {
+    for (what, malformed) in malformed_items() {
+        for items in [
+            format!("{malformed},{SOUND_ITEM}"),
+            format!("{SOUND_ITEM},{malformed}"),
+        ] {
             fixed.reply_with(format!(r#"{{"items":[{items}],"has_more":false}}"#));
             let listed = store.read_range("a/", false).await;
             let listed = listed.unwrap_or_else(|error| panic!("{what}: {error}"));
             let sound = listed.value.iter().filter(|entry| &*entry.key == "a/z");
             let sound: Vec<_> = sound.map(|entry| (&*entry.value, entry.revision)).collect();
             assert_eq!(sound, [(&b"x"[..], Revision(7))], "{what}");
-            let odd = listed.value.iter().filter(|entry| &*entry.key != "a/z");
-            let values: Vec<_> = odd.map(|entry| &*entry.value).collect();
+            let malformed = listed.value.iter().filter(|entry| &*entry.key != "a/z");
+            let values: Vec<_> = malformed.map(|entry| &*entry.value).collect();
             assert_eq!(
                 values,
                 [b""],
@@ -104,14 +107,14 @@
     }
 }
 
-// A watch that fails for one odd event starts again from the same revision and fails for ever.
+// A watch that fails for one malformed event starts again from the same revision, for ever.
 #[tokio::test]
-async fn an_odd_event_does_not_end_a_watch() {
+async fn a_malformed_event_does_not_end_a_watch() {
     let fixed = FixedStore::start().await;
     let store = PlatformStore::new(fixed.address).unwrap();
-    for (what, odd) in odd_items() {
+    for (what, malformed) in malformed_items() {
         fixed.reply_with(format!(
-            r#"{{"events":[{odd},{SOUND_ITEM},{{"key":"a/d","revision":8,"deleted":true}}],"current_rev":9}}"#
+            r#"{{"events":[{malformed},{SOUND_ITEM},{{"key":"a/d","revision":8,"deleted":true}}],"current_rev":9}}"#
         ));
         let watched = store.watch_prefix("a/", Revision(1), 10).await;
         let changes = watched
@@ -125,10 +128,10 @@
     }
 }
 
-// The document that a process follows is odd itself: it counts as an entry that cannot be read, and is
-// watched from then on.
+// The document that a process follows is malformed itself: it counts as an entry that cannot be read, and
+// is watched from then on.
 #[tokio::test]
-async fn an_odd_item_that_is_read_by_its_key_is_followed() {
+async fn a_malformed_item_that_is_read_by_its_key_is_followed() {
     let fixed = FixedStore::start().await;
     let store = PlatformStore::new(fixed.address).unwrap();
     for fields in [
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -389,7 +389,7 @@
 
 // What another writer has put beside the routes hides the change that was watched for.
 #[tokio::test(start_paused = true)]
-async fn an_odd_change_beside_the_routes_does_not_hide_them() {
+async fn a_malformed_change_beside_the_routes_does_not_hide_them() {
     let store = FakeStore::default();
     store.set_routes(1);
     let (registrar, mut receiver) = registrar(&store);
