Prefer targets and report receivers of the own failure domain

Cause: placement compared eight targets of all failure domains, so two thirds of the flows left their domain although it had room, and agents sent most load reports to other domains. Both cost bytes between domains, and each request of such a flow the delay there and back. Change: targets of the own domain are compared first; one in another domain is chosen if it is expected to answer sooner by a quarter of the median service time. At most 8 balancers and 6 siblings outside the domain are sent load reports.

--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -26,12 +26,14 @@
 const MIN_LOAD_INTERVAL_MS: u64 = 20;
 /// Maximum number of load reports that an agent sends per second, to all receivers together.
 const MAX_LOADS_PER_S: u64 = 400;
-/// Maximum number of balancers that an agent reports its load to, and how many of them are taken
-/// from its own failure domain first.
+/// Maximum number of balancers that an agent reports its load to, and how many of them may be in
+/// other failure domains. Balancers place flows in another domain only while their own has no room.
 const MAX_LOAD_BALANCERS: usize = 24;
-const LOCAL_LOAD_BALANCERS: usize = 12;
-/// Maximum number of siblings that an agent reports its load to.
+const REMOTE_LOAD_BALANCERS: usize = 8;
+/// Maximum number of siblings that an agent reports its load to, and how many of them may be in other
+/// failure domains.
 const MAX_LOAD_SIBLINGS: usize = 16;
+const REMOTE_LOAD_SIBLINGS: usize = 6;
 /// Interval between two requests for the instances known to others.
 const MEMBERS_REQUEST_INTERVAL_MS: u64 = 2_000;
 /// Time after startup during which every round of presence messages requests the known instances.
@@ -83,18 +85,40 @@
         .into_iter()
         .map(|(_, member)| member)
         .partition(|member| member.instance.role == InstanceRole::Balancer);
-    let (local, remote): (Vec<&Member>, Vec<&Member>) = balancers
-        .into_iter()
-        .partition(|member| *member.instance.failure_domain == *failure_domain);
-    let (first, further) = local.split_at(local.len().min(LOCAL_LOAD_BALANCERS));
-    let balancers = first.iter().chain(&remote).chain(further);
-    let balancers = balancers.take(MAX_LOAD_BALANCERS);
-    let chosen = balancers.chain(siblings.iter().take(MAX_LOAD_SIBLINGS));
+    let balancers = nearest(
+        balancers,
+        failure_domain,
+        MAX_LOAD_BALANCERS,
+        REMOTE_LOAD_BALANCERS,
+    );
+    let siblings = nearest(
+        siblings,
+        failure_domain,
+        MAX_LOAD_SIBLINGS,
+        REMOTE_LOAD_SIBLINGS,
+    );
+    let chosen = balancers.chain(siblings);
     let mut addresses: Vec<_> = chosen.map(|m| m.instance.control_address).collect();
     addresses.sort_unstable();
     addresses
 }
 
+/// The first `max_len` of `members`, at most `max_remote` of them outside `failure_domain`. Members of
+/// the domain take the places that others leave free.
+fn nearest<'a>(
+    members: Vec<&'a Member>,
+    failure_domain: &str,
+    max_len: usize,
+    max_remote: usize,
+) -> impl Iterator<Item = &'a Member> {
+    let (local, mut remote): (Vec<_>, Vec<_>) = members
+        .into_iter()
+        .partition(|member| *member.instance.failure_domain == *failure_domain);
+    remote.truncate(max_remote);
+    let max_local = max_len - remote.len();
+    local.into_iter().take(max_local).chain(remote)
+}
+
 /// Knowledge of this process about the other instances, and its own state as announced to them.
 #[derive(Debug)]
 pub struct Peering {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,12 +20,17 @@
 /// Cost of placing a flow in another failure domain, in percent of the service time. Traffic
 /// between failure domains is costly, but queueing is worse.
 const CROSS_DOMAIN_PERCENT: u64 = 10;
+/// Minimum advantage of a target in another failure domain over the best one in the own domain, in
+/// percent of the median service time. Without it, flows would move back and forth between domains
+/// with small differences of load.
+const CROSS_DOMAIN_BAND_PERCENT: u64 = 25;
 /// Weight of an idle open flow relative to a running request, in percent. A caller that keeps a
 /// flow open occupies a slot for a few hundredths of the time.
 const IDLE_FLOW_PERCENT: u64 = 3;
 
-/// Maximum number of targets compared for a flow. If it were larger, all balancers with the same
-/// load reports would choose the same target until the next report.
+/// Maximum number of targets of the own failure domain, and of the others, that are compared for a
+/// flow. If it were larger, all balancers with the same load reports would choose the same target
+/// until the next report.
 const MAX_SAMPLED: u64 = 8;
 
 /// A target on which a flow may be placed.
@@ -116,6 +121,10 @@
 }
 
 /// Chooses the agent for a new flow; `None` if no target of the service accepts flows.
+///
+/// A target in the own failure domain is preferred until another domain is expected to answer sooner
+/// by [`CROSS_DOMAIN_BAND_PERCENT`]. This serves demand that swings between failure domains: flows
+/// leave a domain only while waiting there costs their callers more.
 #[must_use]
 pub fn choose<'a>(directory: &'a Directory, request: PlacementRequest<'_>) -> Option<&'a Member> {
     let accepts_flows = |member: &&Member| {
@@ -131,14 +140,34 @@
     if members.iter().any(is_reporting) {
         members.retain(is_reporting);
     }
-    sample(request.hash, members.len())
-        .filter_map(|index| members.get(index))
-        .min_by_key(|member| {
-            let is_remote = *member.instance.failure_domain != *request.failure_domain;
-            let candidate = Candidate::new(&member.load, member.placed_since_report, is_remote);
-            cost_us(&candidate, median_us)
-        })
-        .copied()
+    let (local, remote): (Vec<&Member>, Vec<&Member>) = members
+        .into_iter()
+        .partition(|member| *member.instance.failure_domain == *request.failure_domain);
+    let local = cheapest(&local, request.hash, false, median_us);
+    let remote = cheapest(&remote, request.hash, true, median_us);
+    let band_us = median_us * CROSS_DOMAIN_BAND_PERCENT / 100;
+    let chosen = match (local, remote) {
+        (Some(local), Some(remote)) if remote.0.saturating_add(band_us) < local.0 => remote,
+        (local, remote) => local.or(remote)?,
+    };
+    Some(chosen.1)
+}
+
+/// The member with the lowest cost among a sample of `members`, and its cost in microseconds.
+fn cheapest<'a>(
+    members: &[&'a Member],
+    hash: u64,
+    is_remote: bool,
+    median_us: u64,
+) -> Option<(u64, &'a Member)> {
+    let cost = |member: &Member| {
+        let candidate = Candidate::new(&member.load, member.placed_since_report, is_remote);
+        cost_us(&candidate, median_us)
+    };
+    let sampled = sample(hash, members.len()).filter_map(|index| members.get(index));
+    sampled
+        .map(|&member| (cost(member), member))
+        .min_by_key(|(cost_us, _)| *cost_us)
 }
 
 /// Indices below `len` of the targets that are compared, in an order that depends on `hash`.
