--- a/benches/search.rs
+++ b/benches/search.rs
@@ -12,6 +12,7 @@
     flow::routes::RouteVersion,
     membership::{
         directory::Directory,
+        evacuation_set::EvacuationSet,
         instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
     },
 };
@@ -47,6 +48,7 @@
         is_in_rotation: false,
         next_within_ms: 200,
         receiver_was_draining: false,
+        evacuations: EvacuationSet::default(),
     }
 }
 
--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -163,23 +163,33 @@
     pub revision: Revision,
 }
 
-/// Result of reading a key.
+/// Result of reading all keys with a prefix.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ReadResponse {
-    /// The entry, or `None` if the key does not exist.
-    pub entry: Option<Entry>,
-    /// Revision of the store at the time of the read. Watches start from here, because the history
-    /// at the revision of the entry may have been compacted.
+pub struct RangeResponse {
+    /// The entries, sorted by key.
+    pub entries: Vec<Entry>,
+    /// Revision of the store at the start of the read. A range is read in pages, and the entries may
+    /// include some later changes. Watches start from here, because the history at the revisions of
+    /// the entries may have been compacted.
     pub store_revision: Revision,
 }
 
+/// Change of a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The entry was written.
+    Written(Entry),
+    /// The entry with this key was deleted.
+    Deleted(Arc<str>),
+}
+
 /// Changes to the keys with a prefix.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PrefixChanges {
-    /// Entries were written. The next watch continues after `revision`.
-    Written {
-        /// The written entries, oldest first.
-        entries: Vec<Entry>,
+    /// Entries were written or deleted. The next watch continues after `revision`.
+    Changed {
+        /// The changes, oldest first.
+        changes: Vec<Change>,
         /// Revision up to which changes are included.
         revision: Revision,
     },
@@ -202,17 +212,8 @@
     /// Lease ID.
     type Lease: Copy + fmt::Debug + Send + Sync;
 
-    /// Reads a key and the store revision from which to watch it.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError`] if the store does not respond.
-    fn read(
-        &self,
-        key: &str,
-    ) -> impl Future<Output = Result<StoreReply<ReadResponse>, StoreError>> + Send;
-
-    /// Reads all entries whose key starts with `prefix`. With `allow_stale`, they may be a few
+    /// Reads all entries whose key starts with `prefix`, and the store revision from which to watch
+    /// them. With `allow_stale`, they may be a few
     /// seconds old.
     ///
     /// # Errors
@@ -222,7 +223,7 @@
         &self,
         prefix: &str,
         allow_stale: bool,
-    ) -> impl Future<Output = Result<StoreReply<Vec<Entry>>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreReply<RangeResponse>, StoreError>> + Send;
 
     /// Waits until a key with `prefix` changes after revision `after`, or until `wait_ms`
     /// milliseconds have passed.
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -31,6 +31,9 @@
 
 /// Time after startup during which other instances may still be undiscovered.
 const DISCOVERY_MS: u64 = 500;
+/// Time after startup during which the agent waits to learn which failure domains are evacuated.
+/// After that nothing can be learned, because neither the store nor another instance answers.
+const EVACUATIONS_TIMEOUT_MS: u64 = 1_000;
 /// Interval between two sweeps of the flow tables.
 const SWEEP_INTERVAL_MS: u64 = 500;
 /// Time for which the owner of a flow is stored without a new registration. Owners register their
@@ -93,6 +96,8 @@
     pub(super) swept_at_ms: u64,
     /// SYNs waiting for a slot of the target.
     pub(super) syn_queue: SynQueue,
+    /// Time of the last check whether the queue grows, and its length then.
+    pub(super) queue_checked: (u64, usize),
     /// Slot requests and grants exchanged with the sibling agents, which are the other agents of
     /// the service.
     pub(super) slot_requests: SlotRequests,
@@ -130,6 +135,7 @@
             flows_registered_at_ms: now_ms,
             swept_at_ms: now_ms,
             syn_queue: SynQueue::new(),
+            queue_checked: (now_ms, 0),
             slot_requests: SlotRequests::new(),
             probes: Vec::new(),
             dispatched: Vec::new(),
@@ -436,6 +442,7 @@
         if !self.syn_queue.is_empty() {
             self.request_slots(now_ms);
         }
+        self.check_queue_growth(now_ms);
         self.reregister_flows(now_ms);
         if now_ms.saturating_sub(self.swept_at_ms) >= SWEEP_INTERVAL_MS {
             self.swept_at_ms = now_ms;
@@ -450,14 +457,17 @@
     }
 
     /// Whether packets should be read from the socket yet. A freshly started agent leaves them in
-    /// the socket buffer, because it discovers the other instances within some tens of
-    /// milliseconds.
+    /// the socket buffer, because it discovers the other instances and learns from them which failure
+    /// domains are evacuated within some tens of milliseconds.
     #[must_use]
     pub fn accepts_packets(&self, now_ms: u64) -> bool {
         let members = self.peering.directory.members().iter();
         let mut agents = members.filter(|m| m.instance.role == InstanceRole::Agent);
-        agents.any(|m| m.is_alive(now_ms) && !self.peering.directory.is_local(m))
-            || self.peering.uptime_ms(now_ms) >= DISCOVERY_MS
+        let uptime_ms = self.peering.uptime_ms(now_ms);
+        let knows_agent = agents.any(|m| m.is_alive(now_ms) && !self.peering.directory.is_local(m));
+        let knows_evacuations = self.peering.evacuations.is_known();
+        (knows_agent || uptime_ms >= DISCOVERY_MS)
+            && (knows_evacuations || uptime_ms >= EVACUATIONS_TIMEOUT_MS)
     }
 
     /// Whether a live balancer is known, so that callers can reach the target.
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -16,6 +16,7 @@
     forward::{
         decision::DecisionLog,
         driver_io::{Command, DriverIo},
+        evacuation::EvacuationSource,
         registrar::ClusterUpdate,
         settings::{ForwardSettings, TargetSettings},
         socket::{MAX_BATCH, MAX_DATAGRAM_LEN, PacketSocket},
@@ -267,12 +268,18 @@
                         "in_force" => self.core.route_version().number, "in_force_era" => self.core.route_version().era.0);
                 }
             }
+            ClusterUpdate::Evacuations(set) => {
+                let source = EvacuationSource::Store;
+                self.core.peering.adopt_evacuations(&set, source, now_ms);
+            }
         }
     }
 
     fn tick(&mut self, is_running: bool) {
         let now_ms = self.clock.now_ms();
         self.core.tick(now_ms);
+        let evacuations = &self.core.peering.evacuations;
+        self.io.publish_evacuations(evacuations, now_ms, &self.log);
         self.io.set_ready(is_running && self.core.is_ready(now_ms));
         if self.core.peering.balancer_reaches_store(now_ms) {
             self.store_heard_at_ms = now_ms;
--- a/src/forward/agent/flows.rs
+++ b/src/forward/agent/flows.rs
@@ -378,6 +378,13 @@
         }
     }
 
+    /// Whether the target has been sent the SYN of a flow that the caller has not completed yet.
+    #[must_use]
+    pub fn is_in_handshake(&self, flow: FlowKey) -> bool {
+        let entry = self.flows.get(&flow);
+        entry.is_some_and(|entry| entry.stage == Stage::Handshake)
+    }
+
     /// Acknowledgement number of the caller's most recent packet of a flow that was opened at the
     /// target and that the target has not closed; `None` if there is no such flow.
     #[must_use]
--- a/src/forward/agent/slot_requests.rs
+++ b/src/forward/agent/slot_requests.rs
@@ -75,6 +75,7 @@
             member.serves(service)
                 && member.load.state == TargetState::Ready
                 && member.is_staying(now_ms)
+                && !directory.is_evacuated(member)
                 && !directory.is_local(member)
         });
         let addresses: Vec<_> = siblings.map(|m| m.instance.control_address).collect();
--- a/src/forward/agent/syn.rs
+++ b/src/forward/agent/syn.rs
@@ -25,6 +25,8 @@
 const MAX_PLACEMENTS: u8 = 3;
 /// Maximum number of agents that a SYN visits, including those that granted it a slot.
 pub(super) const MAX_GRANT_HOPS: u8 = 16;
+/// Interval between two checks whether the queue grows while failure domains are evacuated.
+const QUEUE_CHECK_INTERVAL_MS: u64 = 1_000;
 /// Maximum age of a sibling's load report for it to tell which slots are free; about one service
 /// time.
 const MAX_REPORT_AGE_MS: u64 = 40;
@@ -57,6 +59,9 @@
         if hop.tried > 0 {
             self.slot_requests.record_grant_used();
         }
+        if self.peering.is_evacuated(now_ms) {
+            return self.handle_evacuated_syn(datagram, segment, hop, now_ms);
+        }
         let service = self.service();
         let serves_routed_service = service
             .as_deref()
@@ -67,6 +72,9 @@
         if self.syn_queue.contains(flow) {
             return AgentVerdict::Drop;
         }
+        if self.peering.evacuations.is_outdated(now_ms) {
+            return self.enqueue_syn(datagram, segment, hop, now_ms);
+        }
         if hop.tried == 0
             && self.outstanding_requests() >= self.capacity()
             && self.is_cheaper_elsewhere(flow, now_ms)
@@ -82,6 +90,64 @@
         AgentVerdict::Target
     }
 
+    /// Handles a SYN while the failure domain of this agent is evacuated. Whatever instance has sent
+    /// it and however long it has waited, it does not reach the target.
+    ///
+    /// If the target has got an earlier copy, the flow is never refused with a reset, since it may be
+    /// open there. A copy of an open flow's SYN is late and is dropped.
+    fn handle_evacuated_syn(
+        &mut self,
+        datagram: &mut [u8],
+        segment: &Segment,
+        hop: HopMetadata,
+        now_ms: u64,
+    ) -> AgentVerdict<F::Reset> {
+        let flow = segment.caller_flow();
+        if self.syn_queue.contains(flow) {
+            return AgentVerdict::Drop;
+        }
+        if self.flows.contains(flow) && !self.flows.is_in_handshake(flow) {
+            return self.drop_syn(flow, Reason::CopyAdmitted);
+        }
+        self.redirect_syn(datagram, segment, hop, false, now_ms)
+    }
+
+    /// Redirects or refuses all queued SYNs, because the failure domain of this agent is evacuated.
+    fn evacuate_queue(&mut self, now_ms: u64) {
+        let rate = self.service_rate(now_ms);
+        while let Some(mut syn) = self.syn_queue.pop(now_ms, rate) {
+            let Some(segment) = self.format.decode(&syn.datagram) else {
+                continue;
+            };
+            let hop = self.format.read_hop_metadata(&syn.datagram);
+            let verdict = self.handle_evacuated_syn(&mut syn.datagram, &segment, hop, now_ms);
+            self.dispatched.push((syn.datagram, verdict));
+        }
+    }
+
+    /// Records that the queue grows while failure domains are evacuated and no other target has a free
+    /// slot, so that the operator sees that the remaining targets do not suffice.
+    pub(super) fn check_queue_growth(&mut self, now_ms: u64) {
+        let (checked_at_ms, previous) = self.queue_checked;
+        if now_ms.saturating_sub(checked_at_ms) < QUEUE_CHECK_INTERVAL_MS {
+            return;
+        }
+        let waiting = self.syn_queue.len();
+        self.queue_checked = (now_ms, waiting);
+        let evacuated = self.peering.evacuations.evacuated(now_ms);
+        if waiting <= previous || evacuated.is_empty() || self.has_free_slot_elsewhere(now_ms) {
+            return;
+        }
+        if let Some(service) = self.service() {
+            self.peering.decisions.push(Decision::RemainingTargetsFull {
+                service,
+                waiting,
+                previous,
+                evacuated,
+            });
+        }
+    }
+
     /// Records a SYN as sent to the local target after `waited_ms` in the queue.
     fn admit(&mut self, flow: FlowKey, hop: HopMetadata, waited_ms: u64, now_ms: u64) {
         self.flows.record_syn(flow, waited_ms, now_ms);
@@ -141,6 +207,13 @@
             reason,
         });
         self.peering.decisions.extend(ended);
+        if self.peering.evacuations.is_outdated(now_ms) {
+            return;
+        }
+        if self.peering.is_evacuated(now_ms) {
+            self.evacuate_queue(now_ms);
+            return;
+        }
         while !self.syn_queue.is_empty() {
             let is_free = self.target.accepts_syn(now_ms)
                 && self.flows.running() < self.admission_limit(now_ms);
@@ -192,7 +265,10 @@
 
     /// Grants free slots of the local target to the siblings that have requested one.
     pub fn grant_slots(&mut self, now_ms: u64) {
-        if self.target.state(now_ms) != TargetState::Ready || !self.syn_queue.is_empty() {
+        if self.target.state(now_ms) != TargetState::Ready
+            || !self.syn_queue.is_empty()
+            || self.peering.is_evacuated(now_ms)
+        {
             return;
         }
         let free = self.capacity().saturating_sub(self.outstanding_requests());
@@ -206,6 +282,9 @@
         let Some(sibling) = self.peering.directory.by_control_address(from) else {
             return;
         };
+        if self.peering.directory.is_evacuated(sibling) {
+            return;
+        }
         let name = Arc::clone(&sibling.instance.name);
         let address = sibling.instance.packet_address;
         let rate = self.service_rate(now_ms);
@@ -227,6 +306,7 @@
             flow: syn.flow,
             agent: name,
             is_returned: false,
+            is_evacuated: false,
             running: self.outstanding_requests(),
         });
         let verdict = AgentVerdict::Instance(address);
@@ -246,6 +326,7 @@
         self.peering.directory.members().iter().any(|member| {
             member.serves(&service)
                 && !self.peering.directory.is_local(member)
+                && !self.peering.directory.is_evacuated(member)
                 && member.load.state == TargetState::Ready
                 && member.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS
                 && member.expected_running() < member.load.capacity
@@ -316,12 +397,30 @@
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
         let service = self.routed_service(hop);
+        let is_evacuated = self.peering.is_evacuated(now_ms);
+        // The agents before this one did not try their targets if they are evacuated too.
+        let max_tried = if is_evacuated {
+            MAX_GRANT_HOPS
+        } else {
+            MAX_PLACEMENTS
+        };
+        let may_redirect = hop.tried < max_tried - 1;
         let other = service
             .as_deref()
-            .filter(|_| hop.tried + 1 < MAX_PLACEMENTS)
+            .filter(|_| may_redirect)
             .and_then(|service| self.choose_other_agent(service, flow, now_ms));
         let Some(other) = other else {
-            return self.refuse(segment, hop, Reason::AllTargetsRefused);
+            let directory = &self.peering.directory;
+            let has_evacuated = |service: &str| directory.has_evacuated_target(service, now_ms);
+            let is_due_to_evacuation =
+                is_evacuated || may_redirect && service.as_deref().is_some_and(has_evacuated);
+            if !is_due_to_evacuation {
+                return self.refuse(segment, hop, Reason::AllTargetsRefused);
+            }
+            if self.flows.contains(flow) {
+                return self.drop_syn(flow, Reason::CopyAdmitted);
+            }
+            return self.refuse(segment, hop, Reason::DomainEvacuated);
         };
         let address = other.instance.packet_address;
         let name = Arc::clone(&other.instance.name);
@@ -337,6 +436,7 @@
             flow,
             agent: name,
             is_returned,
+            is_evacuated,
             running: self.outstanding_requests(),
         });
         AgentVerdict::Instance(address)
@@ -372,6 +472,13 @@
         AgentVerdict::Reset(flow.caller, self.format.reset(flow, 0))
     }
 
+    /// Drops a SYN whose flow the target may hold.
+    fn drop_syn(&mut self, flow: FlowKey, reason: Reason) -> AgentVerdict<F::Reset> {
+        let decision = Decision::Dropped { flow, reason };
+        self.peering.decisions.push(decision);
+        AgentVerdict::Drop
+    }
+
     /// Maximum number of requests that the target may have.
     ///
     /// Normally this is its capacity. Once a queued SYN has received no slot grant in time, the
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -164,6 +164,7 @@
         let previous = previous.and_then(|owner| directory.by_packet_address(owner));
         if let Some(previous) = previous
             && previous.is_staying(now_ms)
+            && !directory.is_evacuated(previous)
             && previous.silent_ms(now_ms) <= MAX_OWNER_SILENCE_MS
         {
             let owner = previous.instance.packet_address;
@@ -185,6 +186,11 @@
             .or_else(|| placement::choose(directory, unrestricted));
         let Some(chosen) = chosen else {
             let is_discovering = self.peering.uptime_ms(now_ms) < DISCOVERY_MS;
+            if directory.has_evacuated_target(&service, now_ms) {
+                // A copy of the SYN may have opened the flow before the evacuation.
+                let may_reset = !is_discovering && previous.is_none();
+                return self.refuse(segment, flow, Reason::DomainEvacuated, may_reset);
+            }
             return self.refuse(segment, flow, Reason::NoTarget, !is_discovering);
         };
         let owner = chosen.instance.packet_address;
@@ -310,14 +316,14 @@
     }
 
     /// Whether packets should be read from the socket yet. A freshly started balancer leaves them
-    /// in the socket buffer, because it receives the routes and discovers the targets within some
-    /// tens of milliseconds.
+    /// in the socket buffer, because it receives the routes and the evacuated failure domains and
+    /// discovers the targets within some tens of milliseconds.
     #[must_use]
     pub fn accepts_packets(&self, now_ms: u64) -> bool {
         let members = self.peering.directory.members().iter();
         let mut ready = members.filter(|m| m.load.state == TargetState::Ready);
         let knows_target = ready.any(|member| member.is_staying(now_ms));
-        self.routes.version().number > 0 && knows_target
+        self.routes.version().number > 0 && knows_target && self.peering.evacuations.is_known()
             || self.peering.uptime_ms(now_ms) >= DISCOVERY_MS
     }
 
--- a/src/forward/balancer/driver.rs
+++ b/src/forward/balancer/driver.rs
@@ -16,6 +16,7 @@
     forward::{
         decision::DecisionLog,
         driver_io::{Command, DriverIo},
+        evacuation::EvacuationSource,
         registrar::ClusterUpdate,
         settings::ForwardSettings,
         socket::{MAX_BATCH, MAX_DATAGRAM_LEN},
@@ -153,6 +154,12 @@
                         "in_force" => version.number, "in_force_era" => version.era.0);
                 }
             }
+            ClusterUpdate::Evacuations(set) => {
+                let peering = &mut self.core.peering;
+                if peering.adopt_evacuations(&set, EvacuationSource::Store, now_ms) {
+                    peering.broadcast_presence(version, None, now_ms);
+                }
+            }
         }
     }
 
@@ -178,6 +185,8 @@
             self.core.peering.broadcast_presence(version, None, now_ms);
         }
         self.core.tick(now_ms);
+        let evacuations = &self.core.peering.evacuations;
+        self.io.publish_evacuations(evacuations, now_ms, &self.log);
         if let Some((address, _)) = self.core.peering.newer_routes(version, now_ms) {
             self.io.fetch_routes(address);
         }
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,7 +4,7 @@
 
 use slog::{Logger, info, warn};
 
-use super::absence::AbsenceGround;
+use super::{absence::AbsenceGround, evacuation::EvacuationSource};
 use crate::{
     flow::{
         packet::{FlowKey, Lookup},
@@ -12,6 +12,7 @@
     },
     membership::{
         directory::{AwaitReason, MemberChange},
+        evacuation_set::EvacuationVersion,
         instance::TargetState,
     },
     observe::{
@@ -53,6 +54,10 @@
     },
     /// The caller abandoned the attempt while its SYN was queued.
     AttemptEnded,
+    /// All targets that would accept the flow are in evacuated failure domains.
+    DomainEvacuated,
+    /// The target of an evacuated failure domain already got a copy of the SYN.
+    CopyAdmitted,
 }
 
 impl Reason {
@@ -66,6 +71,8 @@
             Self::FlowLost(ground) => ground.name(),
             Self::AttemptEnded => "attempt_ended",
             Self::NoSlotInTime { .. } => "no_slot_in_time",
+            Self::DomainEvacuated => "domain_evacuated",
+            Self::CopyAdmitted => "copy_admitted",
         }
     }
 }
@@ -133,6 +140,8 @@
         agent: Arc<str>,
         /// Whether the local target returned the SYN.
         is_returned: bool,
+        /// Whether the failure domain of this agent is evacuated.
+        is_evacuated: bool,
         /// Requests in progress at the local target, queued SYNs included.
         running: u32,
     },
@@ -280,6 +289,27 @@
         /// Number of routes in the new table; 0 at agents, which store only its version.
         len: usize,
     },
+    /// Other failure domains than before are evacuated.
+    EvacuationsChanged {
+        /// Names of all evacuated failure domains.
+        names: Vec<Arc<str>>,
+        /// Version of the newest known set.
+        version: EvacuationVersion,
+        /// Where the change was learned.
+        source: EvacuationSource,
+    },
+    /// While failure domains are evacuated, no other target of the service has a free slot and the
+    /// queue of this agent grows.
+    RemainingTargetsFull {
+        /// The service.
+        service: Arc<str>,
+        /// Number of queued SYNs.
+        waiting: usize,
+        /// Number of queued SYNs a second before.
+        previous: usize,
+        /// Names of the evacuated failure domains.
+        evacuated: Vec<Arc<str>>,
+    },
 }
 
 /// Logs decisions at a limited rate and counts them.
@@ -311,6 +341,9 @@
     pub fn record(&mut self, decisions: &mut Vec<Decision>, now_ms: u64) {
         for decision in decisions.drain(..) {
             self.counters.count(event(&decision));
+            if is_due_to_evacuation(&decision) {
+                self.counters.count(Event::FlowEvacuated);
+            }
             let limit = self.limit(&decision);
             if let Some(suppressed) = limit.permit(now_ms) {
                 write(&self.log, decision, suppressed);
@@ -330,9 +363,10 @@
             | Decision::FlowsReturned { .. }
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
-            Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
-                &mut self.local_limit
-            }
+            Decision::TargetChanged { .. }
+            | Decision::RoutesChanged { .. }
+            | Decision::EvacuationsChanged { .. }
+            | Decision::RemainingTargetsFull { .. } => &mut self.local_limit,
             _ => &mut self.flow_limit,
         }
     }
@@ -362,9 +396,44 @@
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
+        Decision::EvacuationsChanged { .. } => Event::EvacuationsChanged,
+        Decision::RemainingTargetsFull { .. } => Event::RemainingTargetsFull,
     }
 }
 
+/// Whether a SYN was redirected, refused or dropped because of an evacuation.
+fn is_due_to_evacuation(decision: &Decision) -> bool {
+    match decision {
+        Decision::Redirected { is_evacuated, .. } => *is_evacuated,
+        Decision::Refused { reason, .. } | Decision::Dropped { reason, .. } => {
+            matches!(reason, Reason::DomainEvacuated | Reason::CopyAdmitted)
+        }
+        _ => false,
+    }
+}
+
+/// Names as one text, separated by commas.
+fn joined(names: &[Arc<str>]) -> String {
+    names.join(",")
+}
+
+fn write_evacuations(
+    log: &Logger,
+    names: &[Arc<str>],
+    version: EvacuationVersion,
+    source: &EvacuationSource,
+    suppressed: u64,
+) {
+    let source = match source {
+        EvacuationSource::Store => "store",
+        EvacuationSource::Instance(name) => &**name,
+        EvacuationSource::Expiry => "expiry",
+    };
+    info!(log, "failure domains evacuated"; "domains" => joined(names),
+        "revision" => version.revision.0, "era" => version.era.0, "source" => source,
+        "left_out" => suppressed);
+}
+
 fn write_gap(log: &Logger, flow: FlowKey, gap: &SearchGap, suppressed: u64) {
     let (awaited, silent_ms) = match gap {
         SearchGap::AgentLeftOut {
@@ -378,6 +447,7 @@
 
 /// Logs a decision. `suppressed` is the number of lines left out by the rate limit since the last
 /// one.
+#[allow(clippy::too_many_lines)] // One arm per decision, without logic.
 fn write(log: &Logger, decision: Decision, suppressed: u64) {
     match decision {
         Decision::Placed {
@@ -394,9 +464,10 @@
             flow,
             agent,
             is_returned,
+            is_evacuated,
             running,
         } => info!(log, "flow redirected to another agent"; "flow" => %flow, "agent" => &*agent,
-            "is_returned" => is_returned, "running" => running, "left_out" => suppressed),
+            "is_returned" => is_returned, "is_evacuated" => is_evacuated, "running" => running, "left_out" => suppressed),
         Decision::Queued {
             flow,
             running,
@@ -473,5 +544,18 @@
         } => info!(log, "routes updated"; "version" => version.number, "era" => version.era.0,
             "previous" => previous.number, "previous_era" => previous.era.0,
             "routes" => len, "left_out" => suppressed),
+        Decision::EvacuationsChanged {
+            names,
+            version,
+            source,
+        } => write_evacuations(log, &names, version, &source, suppressed),
+        Decision::RemainingTargetsFull {
+            service,
+            waiting,
+            previous,
+            evacuated,
+        } => warn!(log, "no free slots outside the evacuated failure domains";
+            "service" => &*service, "waiting" => waiting, "waiting_before" => previous,
+            "domains" => joined(&evacuated), "left_out" => suppressed),
     }
 }
--- a/src/forward/driver_io.rs
+++ b/src/forward/driver_io.rs
@@ -19,6 +19,7 @@
 
 use super::{
     agent::target::Heartbeat,
+    evacuation::Evacuations,
     notices::{Notice, Outbox},
     registrar::{ClusterUpdate, Registrar, RouteDocument, RouteWatch, record_era},
     route_fetch,
@@ -73,6 +74,8 @@
     command_tx: mpsc::Sender<Command>,
     /// Whether the driver can forward packets; shared with the driver.
     is_ready: Arc<AtomicBool>,
+    /// Names of the evacuated failure domains.
+    evacuated_rx: watch::Receiver<Vec<Arc<str>>>,
 }
 
 impl Handle {
@@ -82,6 +85,12 @@
         let _ = self.command_tx.send(command).await;
     }
 
+    /// Names of the failure domains that get no new flows, as known to the driver.
+    #[must_use]
+    pub fn evacuated(&self) -> Vec<Arc<str>> {
+        self.evacuated_rx.borrow().clone()
+    }
+
     /// Whether the driver can forward packets.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -105,6 +114,8 @@
     is_ready: Arc<AtomicBool>,
     /// The newest known era of the store, shared with the registrar.
     era: SharedStoreEra,
+    /// Names of the evacuated failure domains, for the metrics.
+    evacuated_tx: watch::Sender<Vec<Arc<str>>>,
     /// Route table served to other instances.
     routes_tx: watch::Sender<Arc<RouteTable>>,
     /// Whether this process has to watch the routes in the store itself.
@@ -150,6 +161,7 @@
         let (routes_tx, routes_rx) = watch::channel(Arc::new(RouteTable::default()));
         let (store_needed_tx, store_needed_rx) = watch::channel(false);
         let (lease_tx, lease_rx) = watch::channel(None);
+        let (evacuated_tx, evacuated_rx) = watch::channel(Vec::new());
         tokio::spawn(route_fetch::serve(listener, routes_rx, log.clone()));
         let era = SharedStoreEra::new();
         let registrar = Registrar {
@@ -171,6 +183,7 @@
         let handle = Handle {
             command_tx,
             is_ready: Arc::clone(&is_ready),
+            evacuated_rx,
         };
         let io = Self {
             packet_socket,
@@ -180,6 +193,7 @@
             counters,
             is_ready,
             era,
+            evacuated_tx,
             routes_tx,
             store_needed_tx,
             lease_rx,
@@ -203,6 +217,18 @@
         });
     }
 
+    /// Makes the evacuated failure domains available to the metrics. Their era may show a restore of
+    /// the store that this process has not noticed yet.
+    pub fn publish_evacuations(&self, evacuations: &Evacuations, now_ms: u64, log: &Logger) {
+        record_era(&self.era, evacuations.version().era, &self.counters, log);
+        let names = evacuations.evacuated(now_ms);
+        self.evacuated_tx.send_if_modified(|published| {
+            let is_changed = *published != names;
+            *published = names;
+            is_changed
+        });
+    }
+
     /// Makes a newer route table available to other instances. Returns whether it was newer. Its
     /// era may show a restore of the store that this process has not noticed yet.
     pub fn publish_routes(&self, routes: &Arc<RouteTable>, log: &Logger) -> bool {
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -5,9 +5,12 @@
 use prost::Message;
 
 use crate::{
-    control::store::StoreEra,
+    control::store::{Revision, StoreEra},
     flow::{packet::FlowKey, routes::RouteVersion},
-    membership::instance::{Instance, Presence, TargetLoad},
+    membership::{
+        evacuation_set::{EvacuationSet, EvacuationVersion},
+        instance::{Instance, Presence, TargetLoad},
+    },
     proto::flow as wire,
 };
 
@@ -69,6 +72,9 @@
                 is_in_rotation: presence.is_in_rotation,
                 next_within_ms: presence.next_within_ms,
                 receiver_was_draining: presence.receiver_was_draining,
+                evacuated: evacuated_names(&presence.evacuations),
+                evacuation_revision: presence.evacuations.version.revision.0,
+                evacuation_era: presence.evacuations.version.era.0,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
             Self::FlowOwner {
@@ -113,6 +119,7 @@
                     is_in_rotation: presence.is_in_rotation,
                     next_within_ms: presence.next_within_ms,
                     receiver_was_draining: presence.receiver_was_draining,
+                    evacuations: evacuation_set(&presence),
                 }),
                 presence.wants_members,
             ),
@@ -129,6 +136,17 @@
     }
 }
 
+fn evacuated_names(set: &EvacuationSet) -> Vec<String> {
+    set.names().iter().map(ToString::to_string).collect()
+}
+
+fn evacuation_set(presence: &wire::Presence) -> EvacuationSet {
+    let names = presence.evacuated.iter().map(|name| name.as_str().into());
+    let revision = Revision(presence.evacuation_revision);
+    let version = EvacuationVersion::new(StoreEra(presence.evacuation_era), revision);
+    EvacuationSet::new(names.collect(), version)
+}
+
 fn flow_owner(message: &wire::FlowOwner, evidence: OwnerEvidence) -> Option<Notice> {
     Some(Notice::FlowOwner {
         owner: address(message.owner_ip, message.owner_port)?,
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -5,6 +5,7 @@
 
 use super::{
     decision::Decision,
+    evacuation::{EvacuationSource, Evacuations},
     notices::{Notice, Outbox},
 };
 use crate::{
@@ -12,6 +13,7 @@
     flow::routes::RouteVersion,
     membership::{
         directory::{Directory, Member, MemberChange},
+        evacuation_set::EvacuationSet,
         instance::{Instance, InstanceRole, Presence, TargetLoad},
     },
 };
@@ -104,6 +106,8 @@
     pub outbox: Outbox,
     /// Decisions that have not been logged yet.
     pub decisions: Vec<Decision>,
+    /// The failure domains that get no new flows.
+    pub evacuations: Evacuations,
     local_instance: Instance,
     /// Control addresses to send presence messages to until an instance there has been heard from.
     seeds: Vec<SocketAddrV4>,
@@ -136,6 +140,7 @@
             directory: Directory::new(Arc::clone(&local_instance.name)),
             outbox: Outbox::default(),
             decisions: Vec::new(),
+            evacuations: Evacuations::new(),
             seeds,
             local_instance,
             leaving_since_ms: None,
@@ -199,9 +204,42 @@
             is_in_rotation: self.is_in_rotation && !self.is_leaving(),
             next_within_ms: u32::try_from(self.presence_interval_ms()).unwrap_or(u32::MAX),
             receiver_was_draining: false,
+            evacuations: self.evacuations.set().clone(),
         }
     }
 
+    /// Adopts a set of evacuated failure domains if it is newer than the known one. Returns whether
+    /// the evacuated domains have changed.
+    pub fn adopt_evacuations(
+        &mut self,
+        set: &EvacuationSet,
+        source: EvacuationSource,
+        now_ms: u64,
+    ) -> bool {
+        let is_changed = self.evacuations.adopt(set, now_ms);
+        if is_changed {
+            self.apply_evacuations(source, now_ms);
+        }
+        is_changed
+    }
+
+    fn apply_evacuations(&mut self, source: EvacuationSource, now_ms: u64) {
+        let names = self.evacuations.evacuated(now_ms);
+        self.directory.set_evacuated(names.clone());
+        self.decisions.push(Decision::EvacuationsChanged {
+            names,
+            version: self.evacuations.version(),
+            source,
+        });
+    }
+
+    /// Whether the failure domain of this instance is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, now_ms: u64) -> bool {
+        let domain = &self.local_instance.failure_domain;
+        self.evacuations.is_evacuated(domain, now_ms)
+    }
+
     /// Current interval between two presence messages, in milliseconds.
     fn presence_interval_ms(&self) -> u64 {
         let others = self.directory.members().len() as u64;
@@ -255,6 +293,9 @@
 
     /// Sends a presence message when it is due, and removes silent instances.
     pub fn tick(&mut self, route_version: RouteVersion, load: Option<TargetLoad>, now_ms: u64) {
+        if self.evacuations.tick(now_ms) {
+            self.apply_evacuations(EvacuationSource::Expiry, now_ms);
+        }
         let is_due = |at_ms: Option<u64>, interval_ms: u64| {
             at_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= interval_ms)
         };
@@ -374,6 +415,9 @@
         let address = presence.instance.control_address;
         let name = Arc::clone(&presence.instance.name);
         let incarnation = presence.instance.incarnation;
+        self.evacuations.record_presence(now_ms);
+        let source = EvacuationSource::Instance(Arc::clone(&name));
+        let is_evacuation_news = self.adopt_evacuations(&presence.evacuations, source, now_ms);
         let change = self.directory.handle_presence(presence, now_ms);
         if change == Some(MemberChange::Joined) || wants_members {
             let sender = self.directory.member(&name);
@@ -396,6 +440,11 @@
                 change,
             });
         }
+        // Balancers pass the news on at once, since some instances may hear only from them. Agents
+        // do so with their next message, which keeps the number of messages low.
+        if is_evacuation_news && self.local_instance.role == InstanceRole::Balancer {
+            self.broadcast_presence(route_version, None, now_ms);
+        }
         change
     }
 
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -14,13 +14,16 @@
 use crate::{
     control::backoff::Backoff,
     control::store::{
-        Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, StoreEra, StoreError, StoreReply,
+        Change, Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, RangeResponse, Revision,
+        StoreEra, StoreError, StoreReply,
     },
     control::store_era::SharedStoreEra,
     flow::routes::{RouteTable, RouteVersion},
     membership::{
         directory::{LEASE_TTL_MS, REGISTERED_AGAIN_MS},
+        evacuation_set::{EvacuationSet, EvacuationVersion, has_room},
         instance::Instance,
+        rendezvous::name_hash,
     },
     observe::counters::{Counters, Event},
     proto::flow as wire,
@@ -35,6 +38,8 @@
 const RESTORE_SPREAD_MS: u64 = 1_000;
 /// Timeout of a watch.
 const WATCH_WAIT_MS: u64 = 10_000;
+/// Range by which the timeouts of the watches of different processes differ.
+const WATCH_WAIT_SPREAD_MS: u64 = 1_500;
 /// Interval at which an agent checks whether it has to watch the routes itself.
 const POLL_INTERVAL_MS: u64 = 500;
 /// Minimum and maximum delay after a failed call. With this maximum, an entry that has expired is
@@ -54,10 +59,19 @@
     Instances(StoreReply<Vec<Instance>>),
     /// A route table.
     Routes(Arc<RouteTable>),
+    /// Evacuated failure domains read from the store.
+    Evacuations(EvacuationSet),
 }
 
-/// Location and format of the route document in the store.
+/// Location and format of what the operator writes to the store: the route document, and one key for
+/// each evacuated failure domain.
 pub trait RouteDocument: Clone + Send + Sync + 'static {
+    /// Prefix of all keys that the operator writes.
+    fn prefix(&self) -> &'static str;
+
+    /// Name of the failure domain that a key evacuates while it exists; `None` if it is another key.
+    fn evacuated_domain<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Key of the document in the store.
     fn key(&self) -> &'static str;
 
@@ -211,10 +225,8 @@
     /// Returns whether this instance is among them.
     async fn read_instances(&self, may_be_stale: bool) -> Result<bool, StoreError> {
         let reading = self.store.read_range(INSTANCES_PREFIX, may_be_stale);
-        let StoreReply {
-            era,
-            value: entries,
-        } = self.call_store(reading).await?;
+        let StoreReply { era, value: range } = self.call_store(reading).await?;
+        let entries = range.entries;
         info!(self.log, "instances read from the store"; "era" => era.0, "listed" => entries.len(),
             "may_be_stale" => may_be_stale);
         let name = &self.local_instance.name;
@@ -239,6 +251,7 @@
     pub async fn follow_routes(self, mut watch_mode: RouteWatch) {
         let mut backoff = Backoff::new(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
         let mut connectivity = StoreConnectivity::new("routes");
+        let mut last_document = None;
         loop {
             if let RouteWatch::WhenNeeded(needed) = &mut watch_mode {
                 while !*needed.borrow() {
@@ -246,7 +259,12 @@
                 }
             }
             if let Err(error) = self
-                .watch_routes(&watch_mode, &mut connectivity, &mut backoff)
+                .watch_routes(
+                    &watch_mode,
+                    &mut last_document,
+                    &mut connectivity,
+                    &mut backoff,
+                )
                 .await
             {
                 connectivity.mark_unreachable(&self.log, &error);
@@ -255,24 +273,29 @@
         }
     }
 
-    /// Reads the routes and watches them. Returns when they have to be read again or the watch is
-    /// no longer needed.
+    /// Reads the routes and the evacuated failure domains and watches both. Returns when they have to
+    /// be read again or the watch is no longer needed.
     async fn watch_routes(
         &self,
         watch_mode: &RouteWatch,
+        last_document: &mut Option<(StoreEra, Revision)>,
         connectivity: &mut StoreConnectivity,
         backoff: &mut Backoff,
     ) -> Result<(), StoreError> {
         let known_era = self.era.current();
-        let StoreReply {
-            era,
-            value: reading,
-        } = self
-            .call_store(self.store.read(self.document.key()))
-            .await?;
+        let prefix = self.document.prefix();
+        let reading = self.store.read_range(prefix, false);
+        let StoreReply { era, value: range } = self.call_store(reading).await?;
         connectivity.mark_reached(&self.log);
-        let mut revision = reading.store_revision;
-        self.handle_route_changes(reading.entry.as_slice(), era)
+        let RangeResponse {
+            entries,
+            store_revision: mut revision,
+        } = range;
+        let mut evacuated = Vec::new();
+        let changes: Vec<_> = entries.into_iter().map(Change::Written).collect();
+        self.apply_evacuations(&changes, &mut evacuated);
+        self.send_evacuations(&evacuated, revision, era).await;
+        self.handle_route_changes(&changes, era, last_document)
             .await;
         loop {
             if let RouteWatch::WhenNeeded(needed) = watch_mode
@@ -282,7 +305,7 @@
             }
             let watching = self
                 .store
-                .watch_prefix(self.document.key(), revision, WATCH_WAIT_MS);
+                .watch_prefix(prefix, revision, self.watch_wait_ms());
             let reply = tokio::select! {
                 reply = self.call_store(watching) => reply?,
                 () = self.restored_since(known_era.max(era)) => {
@@ -302,12 +325,22 @@
                     backoff.wait().await;
                     return Ok(());
                 }
-                PrefixChanges::Written {
-                    entries,
+                PrefixChanges::Changed {
+                    changes,
                     revision: watched_revision,
                 } => {
                     revision = watched_revision;
-                    self.handle_route_changes(&entries, reply.era).await;
+                    if self.apply_evacuations(&changes, &mut evacuated) {
+                        self.send_evacuations(&evacuated, revision, era).await;
+                    }
+                    self.handle_route_changes(&changes, era, last_document)
+                        .await;
+                    if changes.iter().any(is_unreadable) {
+                        info!(self.log, "malformed change; rereading what the operator wrote";
+                            "revision" => revision.0, "era" => era.0);
+                        backoff.wait().await;
+                        return Ok(());
+                    }
                 }
             }
             backoff.reset();
@@ -315,17 +348,72 @@
     }
 
     /// Sends the routes of the newest change that can be decoded as an update. A watch also returns
-    /// changes of other keys with the same prefix.
-    async fn handle_route_changes(&self, entries: &[Entry], era: StoreEra) {
-        for entry in entries.iter().rev() {
+    /// changes of other keys with the same prefix. A document that was sent before is not sent again
+    /// when it is reread.
+    async fn handle_route_changes(
+        &self,
+        changes: &[Change],
+        era: StoreEra,
+        last_document: &mut Option<(StoreEra, Revision)>,
+    ) {
+        for change in changes.iter().rev() {
+            let Change::Written(entry) = change else {
+                continue;
+            };
             // A change that cannot be read may have no key.
             let may_be_document = *entry.key == *self.document.key() || entry.key.is_empty();
+            if may_be_document && *last_document == Some((era, entry.revision)) {
+                return;
+            }
             if may_be_document && self.handle_route_entry(entry, era).await {
+                *last_document = Some((era, entry.revision));
                 return;
             }
         }
     }
 
+    /// Applies changes to the names of the evacuated failure domains. Returns whether any of them
+    /// concerns these. The value of a key has no meaning, so it may be unreadable.
+    fn apply_evacuations(&self, changes: &[Change], evacuated: &mut Vec<Arc<str>>) -> bool {
+        let mut is_concerned = false;
+        for change in changes {
+            let (key, is_written) = match change {
+                Change::Written(entry) => (&entry.key, true),
+                Change::Deleted(key) => (key, false),
+            };
+            let Some(name) = self.document.evacuated_domain(key) else {
+                continue;
+            };
+            is_concerned = true;
+            evacuated.retain(|other| **other != *name);
+            if !is_written {
+                continue;
+            }
+            if name.is_empty() || !has_room(evacuated, name) {
+                self.counters.count(Event::IgnoredReport);
+                warn!(self.log, "evacuation of a failure domain ignored"; "key" => &**key,
+                    "reason" => "no name, or names too long in total");
+                continue;
+            }
+            evacuated.push(name.into());
+        }
+        is_concerned
+    }
+
+    async fn send_evacuations(&self, names: &[Arc<str>], revision: Revision, era: StoreEra) {
+        // Revision 0 tells other instances that nothing is known.
+        let version = EvacuationVersion::new(era, revision.max(Revision(1)));
+        let set = EvacuationSet::new(names.to_vec(), version);
+        self.send(ClusterUpdate::Evacuations(set)).await;
+    }
+
+    /// Timeout of a watch of this process. It differs between processes, so that their watches end
+    /// at different times: should the store leave waiting watches unanswered, the next one to be
+    /// started learns of a change soon.
+    fn watch_wait_ms(&self) -> u64 {
+        WATCH_WAIT_MS + name_hash(&self.local_instance.name) % WATCH_WAIT_SPREAD_MS
+    }
+
     /// Decodes the route document and sends the routes as an update. Returns `false` if the document
     /// is malformed and ignored.
     async fn handle_route_entry(&self, entry: &Entry, era: StoreEra) -> bool {
@@ -390,6 +478,11 @@
     }
 }
 
+/// Whether a change does not even tell its key, so that it may have been one of an evacuation.
+fn is_unreadable(change: &Change) -> bool {
+    matches!(change, Change::Written(entry) if entry.key.is_empty())
+}
+
 /// Records the era of a response or of a route table. Logs and counts that the store has been
 /// restored from an older copy.
 pub(super) fn record_era(known: &SharedStoreEra, era: StoreEra, counters: &Counters, log: &Logger) {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    evacuation_set::contains,
     instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
     rendezvous::{name_hash, tag, weight},
 };
@@ -281,6 +282,8 @@
     local_name: Arc<str>,
     members: Vec<Member>,
     generation: u64,
+    /// Evacuated failure domains, sorted.
+    evacuated: Vec<Arc<str>>,
 }
 
 impl Directory {
@@ -291,6 +294,7 @@
             local_name,
             members: Vec::new(),
             generation: 0,
+            evacuated: Vec::new(),
         }
     }
 
@@ -306,6 +310,28 @@
         &self.members
     }
 
+    /// Sets the evacuated failure domains; `names` are sorted.
+    pub fn set_evacuated(&mut self, names: Vec<Arc<str>>) {
+        self.evacuated = names;
+    }
+
+    /// Whether the failure domain of `member` is evacuated, so that its target gets no new flows.
+    #[must_use]
+    pub fn is_evacuated(&self, member: &Member) -> bool {
+        contains(&self.evacuated, &member.instance.failure_domain)
+    }
+
+    /// Whether a target of a service is left out only because its failure domain is evacuated.
+    #[must_use]
+    pub fn has_evacuated_target(&self, service: &str, now_ms: u64) -> bool {
+        self.members.iter().any(|member| {
+            self.is_evacuated(member)
+                && member.serves(service)
+                && member.load.state == TargetState::Ready
+                && member.is_staying(now_ms)
+        })
+    }
+
     /// Index of the member with a name, or the index at which it would be inserted.
     fn find(&self, name: &str) -> Result<usize, usize> {
         self.members
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -2,11 +2,12 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
+use super::evacuation_set::EvacuationSet;
 use crate::{flow::routes::RouteVersion, proto::flow as wire};
 
 /// Maximum length of the name and of the failure domain of an instance, in bytes, so that a notice
 /// about it fits into a datagram.
-const MAX_NAME_LEN: usize = 255;
+pub(super) const MAX_NAME_LEN: usize = 255;
 
 /// Role of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -187,4 +188,6 @@
     /// Whether the target of the receiver was draining according to the last report of the
     /// receiver's previous incarnation.
     pub receiver_was_draining: bool,
+    /// Evacuated failure domains as known to the sender; unknown in messages of earlier builds.
+    pub evacuations: EvacuationSet,
 }
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -69,6 +69,12 @@
     TargetChanged => "target_changed",
     /// The routes were updated.
     RoutesChanged => "routes_changed",
+    /// Failure domains were evacuated or returned to service.
+    EvacuationsChanged => "evacuations_changed",
+    /// A SYN was redirected, refused or dropped because a failure domain is evacuated.
+    FlowEvacuated => "flow_evacuated",
+    /// The targets outside the evacuated failure domains had no free slot while a queue grew.
+    RemainingTargetsFull => "remaining_targets_full",
     /// A notice that cannot be decoded was dropped.
     DroppedNotice => "dropped_notice",
     /// A target's heartbeat or a store entry was ignored because it is invalid.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -1,5 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
+use std::sync::Arc;
+
 use opentelemetry::{
     KeyValue,
     metrics::{Histogram, Meter, MeterProvider},
@@ -93,6 +95,23 @@
             .build();
     }
 
+    /// Exports a gauge that is 1 for each of the label values that `read` returns each time the
+    /// metrics are collected.
+    pub fn export_set<F>(&self, name: &'static str, label: &'static str, read: F)
+    where
+        F: Fn() -> Vec<Arc<str>> + Send + Sync + 'static,
+    {
+        let meter = self.provider.meter(METER_NAME);
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| {
+                for value in read() {
+                    observer.observe(1, &[KeyValue::new(label, value)]);
+                }
+            })
+            .build();
+    }
+
     /// Formats all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -122,6 +122,7 @@
         member.serves(request.service)
             && member.load.state == TargetState::Ready
             && member.is_staying(request.now_ms)
+            && !directory.is_evacuated(member)
             && request.excluded != Some(&*member.instance.name)
     };
     let median_us = median_service_time_us(directory, request.service);
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -98,6 +98,16 @@
     /// If the sender is about to exit, time since it first announced that, in milliseconds.
     #[prost(uint32, tag = "11")]
     pub leaving_for_ms: u32,
+    /// Names of the evacuated failure domains as known to the sender, sorted.
+    #[prost(string, repeated, tag = "12")]
+    pub evacuated: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Revision of the store up to which changes are included in `evacuated`; 0 if the sender does not
+    /// know which failure domains are evacuated.
+    #[prost(uint64, tag = "13")]
+    pub evacuation_revision: u64,
+    /// Era of the store in which `evacuated` was read; 0 if it is not known.
+    #[prost(uint64, tag = "14")]
+    pub evacuation_era: u64,
 }
 /// Load of a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -8,7 +8,7 @@
 };
 
 use axum::{Router, extract::State, routing::get};
-use bamboowind::control::store::{LeasedStore, PrefixChanges, Revision, StoreError};
+use bamboowind::control::store::{Change, LeasedStore, PrefixChanges, Revision, StoreError};
 
 #[path = "../platform/store.rs"]
 mod store;
@@ -93,10 +93,15 @@
             fixed.reply_with(format!(r#"{{"items":[{items}],"has_more":false}}"#));
             let listed = store.read_range("a/", false).await;
             let listed = listed.unwrap_or_else(|error| panic!("{what}: {error}"));
-            let sound = listed.value.iter().filter(|entry| &*entry.key == "a/z");
+            let sound = listed.value.entries.iter();
+            let sound = sound.filter(|entry| &*entry.key == "a/z");
             let sound: Vec<_> = sound.map(|entry| (&*entry.value, entry.revision)).collect();
             assert_eq!(sound, [(&b"x"[..], Revision(7))], "{what}");
-            let malformed = listed.value.iter().filter(|entry| &*entry.key != "a/z");
+            let malformed = listed
+                .value
+                .entries
+                .iter()
+                .filter(|entry| &*entry.key != "a/z");
             let values: Vec<_> = malformed.map(|entry| &*entry.value).collect();
             assert_eq!(
                 values,
@@ -120,18 +125,29 @@
         let changes = watched
             .unwrap_or_else(|error| panic!("{what}: {error}"))
             .value;
-        let PrefixChanges::Written { entries, revision } = changes else {
+        let PrefixChanges::Changed { changes, revision } = changes else {
             panic!("{what}: {changes:?}");
         };
-        let last = entries.last().map(|entry| &*entry.key);
-        assert_eq!((last, revision), (Some("a/z"), Revision(9)), "{what}");
+        let [malformed, sound, deleted] = &changes[..] else {
+            panic!("{what}: {changes:?}");
+        };
+        assert!(
+            matches!(malformed, Change::Written(entry) if entry.value.is_empty()),
+            "{what}"
+        );
+        assert!(
+            matches!(sound, Change::Written(entry) if &*entry.key == "a/z"),
+            "{what}"
+        );
+        assert_eq!(*deleted, Change::Deleted("a/d".into()), "{what}");
+        assert_eq!(revision, Revision(9), "{what}");
     }
 }
 
 // The document that a process follows is malformed itself: it counts as an entry that cannot be read, and
 // is watched from then on.
 #[tokio::test]
-async fn a_malformed_item_that_is_read_by_its_key_is_followed() {
+async fn a_malformed_item_that_is_the_only_one_of_a_list_is_followed() {
     let fixed = FixedStore::start().await;
     let store = PlatformStore::new(fixed.address).unwrap();
     for fields in [
@@ -139,14 +155,40 @@
         r#""key":"a/z","value":"%%","revision":7"#,
         r#""value":"eA==","revision":-7"#,
     ] {
-        fixed.reply_with(format!(r#"{{{fields},"current_rev":9}}"#));
-        let read = store.read("a/z").await.unwrap().value;
-        assert_eq!(read.store_revision, Revision(9), "{fields}");
-        let value = read.entry.map(|entry| entry.value);
-        assert_eq!(value, Some(Vec::new()), "{fields}");
+        fixed.reply_with(format!(
+            r#"{{"items":[{{{fields}}}],"has_more":false,"current_rev":9}}"#
+        ));
+        let range = store.read_range("a/", false).await.unwrap().value;
+        assert_eq!(range.store_revision, Revision(9), "{fields}");
+        let values: Vec<_> = range.entries.iter().map(|e| e.value.clone()).collect();
+        assert_eq!(values, [Vec::<u8>::new()], "{fields}");
     }
 }
 
+// A watch from the revision of the last page misses what has changed in the first one meanwhile.
+#[tokio::test]
+async fn a_list_of_several_pages_is_watched_from_the_first_one() {
+    let pages = Arc::new(Mutex::new(vec![
+        r#"{"items":[{"key":"a/2","value":"","revision":3}],"has_more":false,"current_rev":12}"#,
+        r#"{"items":[{"key":"a/1","value":"","revision":2}],"has_more":true,"current_rev":9}"#,
+    ]));
+    let reply = move || {
+        let page = pages.lock().unwrap().pop().unwrap();
+        async move { page }
+    };
+    let router = Router::new().route("/{*path}", get(reply));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let store = PlatformStore::new(SocketAddrV4::new([127, 0, 0, 1].into(), port)).unwrap();
+    let range = store.read_range("a/", false).await.unwrap().value;
+    let keys: Vec<_> = range.entries.iter().map(|entry| &*entry.key).collect();
+    assert_eq!(
+        (keys, range.store_revision),
+        (vec!["a/1", "a/2"], Revision(9))
+    );
+}
+
 // A list whose pages do not go on would be read for ever.
 #[tokio::test]
 async fn a_list_without_a_readable_key_to_go_on_from_fails() {
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -8,8 +8,8 @@
 
 use bamboowind::{
     control::store::{
-        Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, ReadResponse, Revision, StoreEra,
-        StoreError, StoreReply,
+        Change, Entry, LeasedStore, LeasedWriteOutcome, PrefixChanges, RangeResponse, Revision,
+        StoreEra, StoreError, StoreReply,
     },
     control::store_era::SharedStoreEra,
     flow::routes::RouteTable,
@@ -21,11 +21,15 @@
 use prost::Message;
 use tokio::{sync::mpsc, time};
 
+/// Prefix of the keys of evacuated failure domains.
+const EVACUATION_PREFIX: &str = "routes/evacuate/";
+
 /// Contents of the store that a copy holds.
 #[derive(Clone, Debug, Default)]
 struct StoreCopy {
     revision: u64,
     routes: Option<Entry>,
+    evacuated: Vec<Entry>,
     instances: Vec<(u64, Entry)>,
     leases: Vec<u64>,
 }
@@ -41,6 +45,15 @@
     /// Oldest revision from which a watch can start.
     oldest_revision: u64,
     routes: Option<Entry>,
+    /// Keys of evacuated failure domains.
+    evacuated: Vec<Entry>,
+    /// Changes of these keys with their revisions, oldest first.
+    history: Vec<(u64, Change)>,
+    /// Whether watches that wait return no changes before their time is over.
+    is_silent: bool,
+    /// Whether the next range read of the operator's keys takes a second, during which a failure
+    /// domain of this name is evacuated, whose key belongs to a page that has been read.
+    evacuated_meanwhile: Option<&'static str>,
     /// Entries that each watch returns after the one of the routes.
     further_changes: Vec<Entry>,
     /// Instance entries with the lease that holds them.
@@ -59,6 +72,10 @@
             revision: 0,
             oldest_revision: 0,
             routes: None,
+            evacuated: Vec::new(),
+            history: Vec::new(),
+            is_silent: false,
+            evacuated_meanwhile: None,
             further_changes: Vec::new(),
             instances: Vec::new(),
             leases: Vec::new(),
@@ -99,11 +116,34 @@
         });
     }
 
+    fn evacuate(&self, domain: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let entry = Entry {
+            key: format!("{EVACUATION_PREFIX}{domain}").into(),
+            value: Vec::new(),
+            revision: Revision(state.revision),
+        };
+        state.evacuated.push(entry.clone());
+        let change = (state.revision, Change::Written(entry));
+        state.history.push(change);
+    }
+
+    fn return_to_service(&self, domain: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let key: Arc<str> = format!("{EVACUATION_PREFIX}{domain}").into();
+        state.evacuated.retain(|entry| entry.key != key);
+        let change = (state.revision, Change::Deleted(key));
+        state.history.push(change);
+    }
+
     fn copy(&self) -> StoreCopy {
         let state = self.state.lock().unwrap();
         StoreCopy {
             revision: state.revision,
             routes: state.routes.clone(),
+            evacuated: state.evacuated.clone(),
             instances: state.instances.clone(),
             leases: state.leases.clone(),
         }
@@ -116,6 +156,8 @@
             state.era += 1;
             state.revision = copy.revision;
             state.routes = copy.routes;
+            state.evacuated = copy.evacuated;
+            state.history.clear();
             state.instances = copy.instances;
             state.leases = copy.leases;
         });
@@ -134,21 +176,31 @@
 impl LeasedStore for FakeStore {
     type Lease = u64;
 
-    async fn read(&self, _key: &str) -> Result<StoreReply<ReadResponse>, StoreError> {
-        self.call("read", |state| ReadResponse {
-            entry: state.routes.clone(),
-            store_revision: Revision(state.revision),
-        })
-    }
-
-    async fn read_range(&self, _: &str, _: bool) -> Result<StoreReply<Vec<Entry>>, StoreError> {
-        self.call("range", |state| {
-            state
-                .instances
-                .iter()
-                .map(|(_, entry)| entry.clone())
-                .collect()
-        })
+    async fn read_range(
+        &self,
+        prefix: &str,
+        _: bool,
+    ) -> Result<StoreReply<RangeResponse>, StoreError> {
+        if prefix != VersionDocument.prefix() {
+            return self.call("range", |state| RangeResponse {
+                entries: state.instances.iter().map(|(_, e)| e.clone()).collect(),
+                store_revision: Revision(state.revision),
+            });
+        }
+        let reply = self.call("read", |state| {
+            let evacuated = state.evacuated.iter();
+            RangeResponse {
+                entries: evacuated.chain(&state.routes).cloned().collect(),
+                store_revision: Revision(state.revision),
+            }
+        });
+        let evacuated_meanwhile = self.state.lock().unwrap().evacuated_meanwhile.take();
+        if let Some(domain) = evacuated_meanwhile {
+            time::sleep(Duration::from_millis(500)).await;
+            self.evacuate(domain);
+            time::sleep(Duration::from_millis(500)).await;
+        }
+        reply
     }
 
     async fn watch_prefix(
@@ -163,18 +215,25 @@
             let era = StoreEra(state.era);
             Ok(StoreReply::new(era, changes))
         };
-        for _ in 0..polls {
+        for poll in 0..polls {
             {
                 let state = self.state.lock().unwrap();
                 if after.0 < state.oldest_revision {
                     return reply(&state, PrefixChanges::Compacted);
                 }
-                if let Some(entry) = state.routes.clone()
-                    && entry.revision > after
-                {
-                    let changes = PrefixChanges::Written {
-                        revision: entry.revision,
-                        entries: [vec![entry], state.further_changes.clone()].concat(),
+                let routes = state.routes.iter().filter(|entry| entry.revision > after);
+                let mut changes: Vec<_> = routes.cloned().map(Change::Written).collect();
+                if !changes.is_empty() {
+                    let further = state.further_changes.iter().cloned();
+                    changes.extend(further.map(Change::Written));
+                }
+                let newer = state.history.iter().filter(|(at, _)| *at > after.0);
+                changes.extend(newer.map(|(_, change)| change.clone()));
+                let is_silent = state.is_silent;
+                if !changes.is_empty() && (!is_silent || poll == 0) {
+                    let changes = PrefixChanges::Changed {
+                        revision: Revision(state.revision),
+                        changes,
                     };
                     return reply(&state, changes);
                 }
@@ -182,9 +241,13 @@
             time::sleep(Duration::from_millis(50)).await;
         }
         let state = self.state.lock().unwrap();
-        let changes = PrefixChanges::Written {
-            entries: Vec::new(),
-            revision: Revision(state.revision),
+        let changes = PrefixChanges::Changed {
+            changes: Vec::new(),
+            revision: if state.is_silent {
+                after
+            } else {
+                Revision(state.revision)
+            },
         };
         reply(&state, changes)
     }
@@ -232,6 +295,14 @@
 struct VersionDocument;
 
 impl RouteDocument for VersionDocument {
+    fn prefix(&self) -> &'static str {
+        "routes"
+    }
+
+    fn evacuated_domain<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(EVACUATION_PREFIX)
+    }
+
     fn key(&self) -> &'static str {
         "routes"
     }
@@ -274,7 +345,9 @@
     std::iter::from_fn(|| receiver.try_recv().ok())
         .filter_map(|learned| match learned {
             ClusterUpdate::Routes(routes) => Some(routes.version().number),
-            ClusterUpdate::StoreReached | ClusterUpdate::Instances(_) => None,
+            ClusterUpdate::StoreReached
+            | ClusterUpdate::Instances(_)
+            | ClusterUpdate::Evacuations(_) => None,
         })
         .collect()
 }
@@ -445,7 +518,9 @@
     let updates = std::iter::from_fn(|| receiver.try_recv().ok());
     let listed = updates.filter_map(|update| match update {
         ClusterUpdate::Instances(listing) => Some(listing.value),
-        ClusterUpdate::StoreReached | ClusterUpdate::Routes(_) => None,
+        ClusterUpdate::StoreReached | ClusterUpdate::Routes(_) | ClusterUpdate::Evacuations(_) => {
+            None
+        }
     });
     let names: Vec<_> = listed.flatten().map(|i| i.name.to_string()).collect();
     assert_eq!(names, ["agent-1", "balancer-1"]);
@@ -536,3 +611,150 @@
     time::sleep(Duration::from_secs(4)).await;
     assert_eq!(store.call_count("range"), 2);
 }
+
+/// Sets of evacuated failure domains that the registrar has sent since the last call, with their
+/// revisions.
+fn evacuations(receiver: &mut mpsc::Receiver<ClusterUpdate>) -> Vec<(String, u64)> {
+    std::iter::from_fn(|| receiver.try_recv().ok())
+        .filter_map(|update| match update {
+            ClusterUpdate::Evacuations(set) => {
+                Some((set.names().join(","), set.version.revision.0))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn last_evacuated(receiver: &mut mpsc::Receiver<ClusterUpdate>) -> String {
+    let sets = evacuations(receiver);
+    sets.last().expect("a set was read").0.clone()
+}
+
+// A deletion that is not reported keeps a failure domain out of service for ever.
+#[tokio::test(start_paused = true)]
+async fn evacuations_of_several_domains_are_followed_one_by_one() {
+    let store = FakeStore::default();
+    store.set_routes(1);
+    store.evacuate("b");
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_secs(1)).await;
+    store.evacuate("c");
+    time::sleep(Duration::from_secs(1)).await;
+    store.return_to_service("b");
+    time::sleep(Duration::from_secs(1)).await;
+    store.set_routes(2);
+    time::sleep(Duration::from_secs(1)).await;
+    let sets = evacuations(&mut receiver);
+    let sets: Vec<_> = sets.iter().map(|(names, at)| (&**names, *at)).collect();
+    assert_eq!(sets, [("b", 2), ("b,c", 3), ("c", 4)]);
+}
+
+// A domain that is evacuated and returned between two replies of a watch is in service.
+#[tokio::test(start_paused = true)]
+async fn the_last_of_several_changes_of_a_key_counts() {
+    let store = FakeStore::default();
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_secs(1)).await;
+    store.evacuate("b");
+    store.return_to_service("b");
+    store.return_to_service("c");
+    store.evacuate("c");
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(last_evacuated(&mut receiver), "c");
+}
+
+// Without the discarded part of the history, a watch would wait for the next change of another key.
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_in_a_discarded_part_of_the_history_is_learned_within_a_second() {
+    let store = FakeStore::default();
+    store.set_routes(1);
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_secs(1)).await;
+    store.evacuate("b");
+    store.update(|state| {
+        state.revision += 50;
+        state.oldest_revision = state.revision;
+        state.history.clear();
+    });
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(last_evacuated(&mut receiver), "b");
+}
+
+// The key belongs to a page that was read before it was written. A watch from the revision at the end
+// of the read would miss it.
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_between_two_pages_of_the_read_is_not_missed() {
+    let store = FakeStore::default();
+    store.set_routes(1);
+    store.update(|state| state.evacuated_meanwhile = Some("b"));
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(last_evacuated(&mut receiver), "b");
+}
+
+// What is evacuated cannot be told from a change without a readable key, and the change is not repeated.
+#[tokio::test(start_paused = true)]
+async fn a_change_without_a_readable_key_leads_to_a_new_read() {
+    let store = FakeStore::default();
+    store.set_routes(1);
+    let (registrar, mut receiver) = registrar(&store);
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_secs(1)).await;
+    store.evacuate("b");
+    store.update(|state| {
+        for (_, change) in &mut state.history {
+            *change = Change::Written(Entry {
+                key: "".into(),
+                value: Vec::new(),
+                revision: Revision::ABSENT,
+            });
+        }
+    });
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(last_evacuated(&mut receiver), "b");
+    assert_eq!(store.call_count("read"), 2);
+}
+
+// The names travel in each presence message, which has to fit into a datagram.
+#[tokio::test(start_paused = true)]
+async fn keys_without_a_name_or_with_too_long_ones_are_ignored() {
+    let store = FakeStore::default();
+    for domain in ["", &"x".repeat(256), "b"] {
+        store.evacuate(domain);
+    }
+    let (registrar, mut receiver) = registrar(&store);
+    let counters = registrar.counters.clone();
+    tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(last_evacuated(&mut receiver), "b");
+    let ignored = bamboowind::observe::counters::Event::IgnoredReport;
+    assert_eq!(counters.get(ignored), 2);
+}
+
+// With equal timeouts, the watches of processes that start together all end at the same time. Should
+// the store leave them unanswered, nobody would learn of an evacuation for ten seconds.
+#[tokio::test(start_paused = true)]
+async fn some_process_learns_of_an_evacuation_in_time_while_watches_are_silent() {
+    let store = FakeStore::default();
+    store.set_routes(1);
+    store.update(|state| state.is_silent = true);
+    let mut receivers = Vec::new();
+    for number in 0..18 {
+        let (mut registrar, receiver) = registrar(&store);
+        registrar.local_instance.name = format!("balancer-{number}").into();
+        tokio::spawn(registrar.follow_routes(RouteWatch::Always));
+        receivers.push(receiver);
+    }
+    time::sleep(Duration::from_secs(120)).await;
+    for receiver in &mut receivers {
+        evacuations(receiver);
+    }
+    store.evacuate("b");
+    time::sleep(Duration::from_secs(3)).await;
+    let sets = receivers.iter_mut().flat_map(evacuations);
+    assert!(sets.count() > 0, "no process has learned of the evacuation");
+}
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -5,7 +5,10 @@
     control::store::{StoreEra, StoreReply},
     flow::routes::RouteVersion,
     forward::peering::Peering,
-    membership::instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
+    membership::{
+        evacuation_set::EvacuationSet,
+        instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
+    },
 };
 
 const VERSION: RouteVersion = RouteVersion {
@@ -40,6 +43,7 @@
         is_in_rotation: false,
         next_within_ms: 200,
         receiver_was_draining: false,
+        evacuations: EvacuationSet::default(),
     }
 }
 
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -9,7 +9,7 @@
 };
 
 use bamboowind::{
-    control::store::{StoreEra, StoreReply},
+    control::store::{Revision, StoreEra, StoreReply},
     flow::{
         packet::{FlowKey, HopMetadata, PacketFormat, Segment},
         routes::{Backend, Class, Route, RouteTable},
@@ -20,10 +20,12 @@
             target::{Heartbeat, Target},
         },
         balancer::core::{BalancerCore, Verdict},
+        evacuation::EvacuationSource,
         notices::Notice,
     },
     membership::{
         directory::LEAVE_GRACE_MS,
+        evacuation_set::{EvacuationSet, EvacuationVersion},
         instance::{Instance, InstanceRole},
         rendezvous::{flow_hash, name_hash, weight},
     },
@@ -339,6 +341,10 @@
     delayed: HashSet<(SocketAddrV4, SocketAddrV4)>,
     /// Notices that are held back, with their senders and receivers.
     held_notices: Vec<(SocketAddrV4, SocketAddrV4, Notice)>,
+    /// Failure domains, to which the balancers and the agents are assigned in turn.
+    domains: &'static [&'static str],
+    /// Evacuated failure domains that a started balancer reads from the store; `None` if it cannot.
+    pub stored_evacuations: Option<EvacuationSet>,
     /// Newest route table, which balancers know.
     pub routes: Arc<RouteTable>,
     /// Service that the settings of a started agent name.
@@ -349,7 +355,13 @@
     service_ms: u64,
 }
 
-fn instance(name: String, role: InstanceRole, host: u8, incarnation: u64) -> Instance {
+fn instance(
+    name: String,
+    role: InstanceRole,
+    host: u8,
+    incarnation: u64,
+    domains: &[&str],
+) -> Instance {
     let subnet = match role {
         InstanceRole::Balancer => 1,
         InstanceRole::Agent => 2,
@@ -359,7 +371,7 @@
         name: name.into(),
         incarnation,
         role,
-        failure_domain: "a".into(),
+        failure_domain: domains[usize::from(host - 1) % domains.len()].into(),
         packet_address: SocketAddrV4::new(ip, 8_000),
         control_address: SocketAddrV4::new(ip, 7_000),
     }
@@ -382,8 +394,20 @@
 }
 
 impl Simulation {
-    /// Creates a simulation and advances it until all instances know each other.
+    /// Creates a simulation in one failure domain and advances it until all instances know each
+    /// other.
     pub fn new(balancers: u8, agents: u8, capacity: usize, service_ms: u64) -> Self {
+        Self::new_in(&["a"], balancers, agents, capacity, service_ms)
+    }
+
+    /// Like `new`, with instances that are assigned to these failure domains in turn.
+    pub fn new_in(
+        domains: &'static [&'static str],
+        balancers: u8,
+        agents: u8,
+        capacity: usize,
+        service_ms: u64,
+    ) -> Self {
         let mut sim = Self {
             now_ms: 1_000,
             balancers: Vec::new(),
@@ -399,6 +423,11 @@
             lost_entries: HashMap::new(),
             delayed: HashSet::new(),
             held_notices: Vec::new(),
+            stored_evacuations: Some(EvacuationSet::new(
+                Vec::new(),
+                EvacuationVersion::new(StoreEra(1), Revision(1)),
+            )),
+            domains,
             routes: routes(1),
             expected_service: SERVICE,
             capacity,
@@ -423,9 +452,14 @@
             InstanceRole::Balancer,
             host + 1,
             incarnation,
+            self.domains,
         );
         let mut core = BalancerCore::new(PlatformPacket, own, Vec::new(), self.now_ms);
         core.set_routes(Arc::clone(&self.routes));
+        if let Some(set) = &self.stored_evacuations {
+            let source = EvacuationSource::Store;
+            core.peering.adopt_evacuations(set, source, self.now_ms);
+        }
         core
     }
 
@@ -435,6 +469,7 @@
             InstanceRole::Agent,
             host + 1,
             incarnation,
+            self.domains,
         );
         let local_target = Target::new(HEARTBEAT_INTERVAL_MS)
             .with_expected_service(self.expected_service.into(), self.now_ms);
@@ -470,6 +505,28 @@
         self.routes = routes;
     }
 
+    /// Tells a balancer which failure domains are evacuated, as if it had read the store at this
+    /// revision.
+    pub fn set_evacuated(&mut self, balancer: usize, names: &[&str], revision: u64) {
+        let names = names.iter().map(|name| (*name).into()).collect();
+        let version = EvacuationVersion::new(StoreEra(self.era), Revision(revision));
+        let set = EvacuationSet::new(names, version);
+        let core = &mut self.balancers[balancer];
+        let version = core.routes().version();
+        let source = EvacuationSource::Store;
+        if core.peering.adopt_evacuations(&set, source, self.now_ms) {
+            core.peering.broadcast_presence(version, None, self.now_ms);
+        }
+        self.deliver_notices();
+    }
+
+    /// Number of SYNs that the targets of a failure domain have received.
+    pub fn syns_in(&self, domain: &str) -> usize {
+        let agents = self.agents.iter();
+        let agents = agents.filter(|agent| *agent.instance.failure_domain == *domain);
+        agents.map(|agent| agent.target.syns).sum()
+    }
+
     /// Holds back the notices of this sender to this receiver, or delivers those that were.
     pub fn toggle_delay(&mut self, pair: (SocketAddrV4, SocketAddrV4)) {
         if self.delayed.insert(pair) {
@@ -751,6 +808,13 @@
         self.agents[index].is_frozen = true;
     }
 
+    /// Drops the notices that a frozen agent process has not read, as if they had found no room in its
+    /// socket.
+    pub fn drop_unread_notices(&mut self, index: usize) {
+        let unread = &mut self.agents[index].unread;
+        unread.retain(|message| !matches!(message, Unread::Notice(..)));
+    }
+
     /// Ends the freeze of an agent process, which then reads its sockets: notices and heartbeats
     /// first, then packets.
     pub fn thaw_agent(&mut self, index: usize) {
