Let the watches of processes end at different times

Cause: processes that start together, or whose watches end together with a change of the routes, start all their watches at the same time. Should the store leave waiting watches unanswered, nobody would learn of an evacuation for up to ten seconds.

Change: a process pauses for up to 400 ms, by the hash of its name, between a watch that has ended without changes and the next one, which returns what has changed meanwhile.

Also adds a test with real processes over loopback, in which the agent and the balancers of an evacuated domain are killed and started again.

--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -38,8 +38,9 @@
 const RESTORE_SPREAD_MS: u64 = 1_000;
 /// Timeout of a watch.
 const WATCH_WAIT_MS: u64 = 10_000;
-/// Range by which the timeouts of the watches of different processes differ.
-const WATCH_WAIT_SPREAD_MS: u64 = 1_500;
+/// Maximum time between two watches. Together with the notices of other processes, an evacuation is in
+/// force within a second.
+const MAX_WATCH_PAUSE_MS: u64 = 400;
 /// Interval at which an agent checks whether it has to watch the routes itself.
 const POLL_INTERVAL_MS: u64 = 500;
 /// Minimum and maximum delay after a failed call. With this maximum, an entry that has expired is
@@ -303,9 +304,7 @@
             {
                 return Ok(());
             }
-            let watching = self
-                .store
-                .watch_prefix(prefix, revision, self.watch_wait_ms());
+            let watching = self.store.watch_prefix(prefix, revision, WATCH_WAIT_MS);
             let reply = tokio::select! {
                 reply = self.call_store(watching) => reply?,
                 () = self.restored_since(known_era.max(era)) => {
@@ -335,6 +334,9 @@
                     }
                     self.handle_route_changes(&changes, era, last_document)
                         .await;
+                    if changes.is_empty() {
+                        self.wait_between_watches().await;
+                    }
                     if changes.iter().any(is_unreadable) {
                         info!(self.log, "malformed change; rereading what the operator wrote";
                             "revision" => revision.0, "era" => era.0);
@@ -407,11 +409,13 @@
         self.send(ClusterUpdate::Evacuations(set)).await;
     }
 
-    /// Timeout of a watch of this process. It differs between processes, so that their watches end
-    /// at different times: should the store leave waiting watches unanswered, the next one to be
-    /// started learns of a change soon.
-    fn watch_wait_ms(&self) -> u64 {
-        WATCH_WAIT_MS + name_hash(&self.local_instance.name) % WATCH_WAIT_SPREAD_MS
+    /// Waits between a watch that has ended without changes and the next one, which returns what has
+    /// changed meanwhile. The time differs between processes, so that their watches do not end
+    /// together: should the store leave waiting watches unanswered, the next one to be started learns
+    /// of a change.
+    async fn wait_between_watches(&self) {
+        let pause_ms = name_hash(&self.local_instance.name) % MAX_WATCH_PAUSE_MS;
+        time::sleep(Duration::from_millis(pause_ms)).await;
     }
 
     /// Decodes the route document and sends the routes as an update. Returns `false` if the document
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -48,6 +48,8 @@
     era: u64,
     /// Key, base64 value and revision of each item.
     items: Vec<(String, String, u64)>,
+    /// Key and revision of each deletion.
+    deletions: Vec<(String, u64)>,
     /// Whether every call fails with status 503.
     is_down: bool,
 }
@@ -118,10 +120,16 @@
     for _ in 0..20 {
         let found = respond(&store, |state| {
             let items = state.items.iter();
-            let events: Vec<_> = items
+            let mut events: Vec<_> = items
                 .filter(|(key, _, revision)| key.starts_with(&query.prefix) && *revision > after)
                 .map(item_json)
                 .collect();
+            let deletions = state.deletions.iter();
+            let deletions = deletions
+                .filter(|(key, revision)| key.starts_with(&query.prefix) && *revision > after);
+            events.extend(deletions.map(
+                |(key, revision)| json!({ "key": key, "revision": revision, "deleted": true }),
+            ));
             Ok(Json(
                 json!({ "events": events, "current_rev": state.revision }),
             ))
@@ -195,6 +203,20 @@
     state.items.push(("op/config".to_owned(), value, revision));
 }
 
+/// Evacuates the failure domain `domain`, or returns it to service.
+fn set_evacuated(store: &SharedStore, domain: &str, is_evacuated: bool) {
+    let mut state = store.lock().unwrap();
+    state.revision += 1;
+    let revision = state.revision;
+    let key = format!("op/evacuate/{domain}");
+    if is_evacuated {
+        state.items.push((key, "e30=".to_owned(), revision));
+    } else {
+        state.items.retain(|(other, _, _)| *other != key);
+        state.deletions.push((key, revision));
+    }
+}
+
 /// Process of a balancer or an agent. It is killed when the value is dropped.
 struct Daemon {
     child: Child,
@@ -244,6 +266,8 @@
     store: SharedStore,
     /// Directory of the settings and log files.
     directory: tempfile::TempDir,
+    /// Address of the target of each SYN that a target has received.
+    syns: Arc<Mutex<Vec<Ipv4Addr>>>,
     /// Set to true to stop the threads of the targets.
     stop: Arc<AtomicBool>,
     /// Socket that all callers share; they differ by the port in the packet header.
@@ -290,6 +314,7 @@
             network,
             store,
             directory: tempfile::tempdir().unwrap(),
+            syns: Arc::default(),
             stop: Arc::default(),
             caller_socket,
             _runtime: runtime,
@@ -297,13 +322,17 @@
     }
 
     fn start(&self, role: &str, host: u8) -> Daemon {
+        self.start_in("a", role, host)
+    }
+
+    fn start_in(&self, zone: &str, role: &str, host: u8) -> Daemon {
         let address = ip(self.network, host);
         let name = format!("{role}-{host}");
         let seed = ip(self.network, 1);
         let text = format!(
             r#"node_name = "{name}"
 ip = "{address}"
-zone = "a"
+zone = "{zone}"
 internal_ports = [7720, 7735]
 seeds = ["{seed}:{CONTROL_PORT}"]
 heartbeat_ms = 200
@@ -342,11 +371,20 @@
             .set_read_timeout(Some(Duration::from_millis(20)))
             .unwrap();
         let stop = Arc::clone(&self.stop);
-        thread::spawn(move || serve_target(&socket, outbound, &stop));
+        let syns = Arc::clone(&self.syns);
+        let record_syn = move || syns.lock().unwrap().push(address);
+        thread::spawn(move || serve_target(&socket, outbound, &stop, record_syn));
         let stop = Arc::clone(&self.stop);
         thread::spawn(move || send_heartbeats(address, host, &stop));
     }
 
+    /// Number of SYNs that the target on `host` has received.
+    fn syns_at(&self, host: u8) -> usize {
+        let address = ip(self.network, host);
+        let syns = self.syns.lock().unwrap();
+        syns.iter().filter(|other| **other == address).count()
+    }
+
     fn caller(&self) -> Ipv4Addr {
         ip(self.network, 9)
     }
@@ -410,7 +448,12 @@
 }
 
 /// Runs a fake target: opens flows, answers requests and returns packets of unknown flows.
-fn serve_target(socket: &UdpSocket, outbound: SocketAddrV4, stop: &AtomicBool) {
+fn serve_target(
+    socket: &UdpSocket,
+    outbound: SocketAddrV4,
+    stop: &AtomicBool,
+    record_syn: impl Fn(),
+) {
     let mut flows = Vec::new();
     let mut buffer = [0; 2_048];
     while !stop.load(Ordering::Relaxed) {
@@ -422,6 +465,7 @@
             u16::from_le_bytes([buffer[22], buffer[23]]),
         );
         if buffer[10] & SYN != 0 {
+            record_syn();
             flows.push(caller);
             let reply = datagram(service_address(), caller, SYN | ACK, 0, 8, 0);
             socket.send_to(&reply, outbound).unwrap();
@@ -542,6 +586,87 @@
     assert!(agent.has_log_line("target changed"));
 }
 
+// Real processes: the key is read by balancers, and the agents hear of it from them, also after a restart.
+#[test]
+fn no_syn_reaches_an_evacuated_domain_and_its_open_flows_continue() {
+    let cluster = Cluster::new();
+    let balancers = [
+        cluster.start("balancer", 1),
+        cluster.start_in("b", "balancer", 2),
+    ];
+    let agents = [
+        cluster.start("agent", 11),
+        cluster.start_in("b", "agent", 12),
+    ];
+    for host in [11, 12] {
+        cluster.start_target(host);
+    }
+    Cluster::wait_for("readiness", || cluster.is_ready(1) && cluster.is_ready(2));
+    let mut port = 1_000;
+    let mut open_flow = || {
+        port += 1;
+        let balancer = 1 + u8::try_from(port % 2).unwrap();
+        cluster.send_until_response(balancer, port, OPEN, SYN | ACK);
+        cluster.send_until_response(balancer, port, REQUEST, ACK);
+        port
+    };
+    let open_port = loop {
+        let before = cluster.syns_at(12);
+        let port = open_flow();
+        if cluster.syns_at(12) > before {
+            break port;
+        }
+    };
+    set_evacuated(&cluster.store, "b", true);
+    let evacuated_at = Instant::now();
+    let knows = |daemon: &Daemon, domains: &str| {
+        let lines = daemon.log_lines();
+        let mut sets = lines
+            .iter()
+            .filter(|l| l["msg"] == "failure domains evacuated");
+        sets.next_back()
+            .is_some_and(|line| line["domains"] == domains)
+    };
+    Cluster::wait_for("the evacuation", || {
+        balancers
+            .iter()
+            .chain(&agents)
+            .all(|daemon| knows(daemon, "b"))
+    });
+    assert!(evacuated_at.elapsed() < IN_FORCE_WITHIN);
+    let before = cluster.syns_at(12);
+    for _ in 0..10 {
+        open_flow();
+    }
+    let [_, agent] = agents;
+    agent.signal("-KILL");
+    drop(agent);
+    drop(balancers);
+    let _agent = cluster.start_in("b", "agent", 12);
+    let balancers = [
+        cluster.start("balancer", 1),
+        cluster.start_in("b", "balancer", 2),
+    ];
+    for _ in 0..10 {
+        open_flow();
+    }
+    cluster.send_until_response(1, open_port, REQUEST, ACK);
+    assert_eq!(cluster.syns_at(12), before);
+    let address = ip(cluster.network, 12);
+    let metrics = http_get(&format!("http://{address}:7721/metrics")).unwrap();
+    let gauge = r#"bamboowind_evacuated_domain{domain="b""#;
+    assert!(metrics.1.contains(gauge), "{}", metrics.1);
+    set_evacuated(&cluster.store, "b", false);
+    Cluster::wait_for("the return to service", || {
+        balancers.iter().all(|daemon| knows(daemon, ""))
+    });
+    let deadline = Instant::now() + TIMEOUT;
+    while cluster.syns_at(12) == before {
+        assert!(Instant::now() < deadline, "the domain gets no new flows");
+        open_flow();
+    }
+}
+
 #[test]
 fn a_flow_to_an_unknown_address_is_refused_and_logged() {
     let cluster = Cluster::new();
--- a/tests/registrar.rs
+++ b/tests/registrar.rs
@@ -735,8 +735,8 @@
     assert_eq!(counters.get(ignored), 2);
 }
 
-// With equal timeouts, the watches of processes that start together all end at the same time. Should
-// the store leave them unanswered, nobody would learn of an evacuation for ten seconds.
+// The watches of processes that have started together would all end at the same time. Should the store
+// leave them unanswered, nobody would learn of an evacuation for ten seconds.
 #[tokio::test(start_paused = true)]
 async fn some_process_learns_of_an_evacuation_in_time_while_watches_are_silent() {
     let store = FakeStore::default();
@@ -749,7 +749,7 @@
         tokio::spawn(registrar.follow_routes(RouteWatch::Always));
         receivers.push(receiver);
     }
-    time::sleep(Duration::from_secs(120)).await;
+    time::sleep(Duration::from_secs(301)).await;
     for receiver in &mut receivers {
         evacuations(receiver);
     }
