--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -653,9 +653,11 @@
     cluster.send_until_response(1, open_port, REQUEST, ACK);
     assert_eq!(cluster.syns_at(12), before);
     let address = ip(cluster.network, 12);
-    let metrics = http_get(&format!("http://{address}:7721/metrics")).unwrap();
     let gauge = r#"bamboowind_evacuated_domain{domain="b""#;
-    assert!(metrics.1.contains(gauge), "{}", metrics.1);
+    Cluster::wait_for("the gauge of the started agent", || {
+        let metrics = http_get(&format!("http://{address}:7721/metrics"));
+        metrics.is_some_and(|(_, text)| text.contains(gauge))
+    });
     set_evacuated(&cluster.store, "b", false);
     Cluster::wait_for("the return to service", || {
         balancers.iter().all(|daemon| knows(daemon, ""))
