Avoid targets that fail the requests they receive

Five of 43 targets answered every request with an error in 1 ms for 5.5 s while their heartbeats arrived. Their shorter service time made placement prefer them, and 954 requests that must not be repeated were lost.

Agents compare the time and the length of the first packet of responses, resets and missing responses with the medians of at least three siblings for the same class, and report whether their target is suspect. Placement, redirects, slot requests and grants avoid suspects, unless more than a third of the targets are suspect. After a pause a suspect is put on probation.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -11,12 +11,17 @@
     flows::{AgentFlows, CallerPacket, ResponseTiming},
     probe::ProbePacket,
     slot_requests::SlotRequests,
+    suspicion::{self, Outcome, Suspicion, SuspicionChange, class_tag},
     syn_queue::SynQueue,
     target::{Heartbeat, HeartbeatOutcome, Target},
 };
 use crate::{
     control::store::StoreEra,
-    flow::{packet::PacketFormat, routes::RouteVersion, table::FlowTable},
+    flow::{
+        packet::{FlowKey, PacketFormat},
+        routes::RouteVersion,
+        table::FlowTable,
+    },
     forward::{
         absence::{FlowAbsence, TargetAnswer},
         decision::Decision,
@@ -27,6 +32,7 @@
         directory::{MemberChange, REGISTERED_AGAIN_MS},
         instance::{Instance, InstanceRole, TargetLoad, TargetState},
     },
+    placement,
 };
 
 /// Time after startup during which other instances may still be undiscovered.
@@ -37,6 +43,12 @@
 /// flows again well before this expires.
 const REGISTRATION_TTL_MS: u64 = 60_000;
 
+/// Interval between two comparisons with the siblings, and between two load reports with responses by
+/// class, so that load reports grow little.
+const SUSPICION_INTERVAL_MS: u64 = 200;
+/// Time between two ticks from which this process counts as having been paused. Responses may then be
+/// unread, so no request is taken to be missing its response.
+const MAX_TICK_GAP_MS: u64 = 200;
 /// Time for which the agent that a SYN was redirected to is stored. By then the flow is registered.
 const REDIRECT_TTL_MS: u64 = 10_000;
 
@@ -96,6 +108,16 @@
     /// Slot requests and grants exchanged with the sibling agents, which are the other agents of
     /// the service.
     pub(super) slot_requests: SlotRequests,
+    /// Whether the local target seems to fail requests.
+    pub(super) suspicion: Suspicion,
+    /// Time of the last comparison with the siblings.
+    compared_at_ms: u64,
+    /// Time of the last load report with responses by class.
+    classes_reported_at_ms: u64,
+    /// Whether the suspicion has changed since the last load report.
+    is_suspicion_unreported: bool,
+    /// Time of the last tick.
+    ticked_at_ms: u64,
     /// Packets of unknown flows that were sent to the target.
     pub(super) probes: Vec<ProbePacket>,
     /// Packets that were held back and are now ready to be sent, with their verdicts.
@@ -131,6 +153,11 @@
             swept_at_ms: now_ms,
             syn_queue: SynQueue::new(),
             slot_requests: SlotRequests::new(),
+            suspicion: Suspicion::new(),
+            compared_at_ms: now_ms,
+            classes_reported_at_ms: now_ms,
+            is_suspicion_unreported: false,
+            ticked_at_ms: now_ms,
             probes: Vec::new(),
             dispatched: Vec::new(),
         }
@@ -214,6 +241,8 @@
             flows,
             service_time_us: self.flows.service_time_us(now_ms),
             cold_left_ms: u32::try_from(self.target.cold_left_ms(now_ms)).unwrap_or(u32::MAX),
+            is_suspect: self.suspicion.is_suspect(now_ms),
+            class_responses: Vec::new(),
         }
     }
 
@@ -283,7 +312,11 @@
                 }
             }
             self.probes.retain(|packet| packet.flow != flow);
-            if self.flows.record_target_packet(flow, &segment, now_ms) {
+            let packet = self.flows.record_target_packet(flow, &segment, now_ms);
+            if let Some(outcome) = packet.outcome {
+                self.record_outcome(flow, outcome, now_ms);
+            }
+            if packet.adds_flow {
                 self.recovered_flows.remove(flow);
                 self.register_flow(flow, OwnerEvidence::Registered, now_ms);
             }
@@ -322,6 +355,8 @@
         let outcome = self.target.apply_heartbeat(heartbeat, now_ms);
         self.flows.set_capacity(self.capacity());
         if outcome == HeartbeatOutcome::Restarted {
+            let change = self.suspicion.restart_target(now_ms);
+            self.push_suspicion(change, now_ms);
             self.probe_open_flows();
         }
         let state = self.target.state(now_ms);
@@ -361,6 +396,88 @@
         self.dispatched.extend(packets);
     }
 
+    /// Records the outcome of a request at the local target.
+    fn record_outcome(&mut self, flow: FlowKey, outcome: Outcome, now_ms: u64) {
+        let change = self.suspicion.record(flow, outcome, now_ms);
+        self.push_suspicion(change, now_ms);
+    }
+
+    /// Adds a change of the suspicion to the decisions. The next tick reports it.
+    fn push_suspicion(&mut self, change: Option<SuspicionChange>, now_ms: u64) {
+        let Some(change) = change else {
+            return;
+        };
+        self.is_suspicion_unreported = true;
+        let service = self.service().unwrap_or_default();
+        let directory = &self.peering.directory;
+        let (suspects, targets) = placement::count_suspects(directory, &service, now_ms);
+        self.peering.decisions.push(Decision::SuspicionChanged {
+            change,
+            suspects,
+            targets,
+        });
+    }
+
+    /// Finds requests without a response, and compares the responses with those of the siblings when
+    /// that is due.
+    fn update_suspicion(&mut self, now_ms: u64) {
+        let since_tick_ms = now_ms.saturating_sub(self.ticked_at_ms);
+        self.ticked_at_ms = now_ms;
+        if since_tick_ms > MAX_TICK_GAP_MS {
+            self.flows.forget_recent_requests();
+        }
+        self.suspicion.tick(now_ms);
+        let suspicion = &self.suspicion;
+        let limit = |flow: FlowKey| suspicion.missing_after_ms(class_tag(flow.service));
+        for (flow, waited_ms) in self.flows.take_missing(limit, now_ms) {
+            self.record_outcome(flow, Outcome::Missing { waited_ms }, now_ms);
+        }
+        if now_ms.saturating_sub(self.compared_at_ms) < SUSPICION_INTERVAL_MS {
+            return;
+        }
+        self.compared_at_ms = now_ms;
+        let Some(service) = self.service() else {
+            return;
+        };
+        let directory = &self.peering.directory;
+        let siblings = directory.members().iter().filter(|member| {
+            let age_ms = now_ms.saturating_sub(member.class_responses_at_ms);
+            member.serves(&service)
+                && !directory.is_local(member)
+                && !member.load.is_suspect
+                && age_ms <= suspicion::FIGURES_TTL_MS
+        });
+        let reports = siblings.map(|member| &member.class_responses[..]);
+        let references = suspicion::class_references(reports);
+        let change = self.suspicion.set_references(references, now_ms);
+        self.push_suspicion(change, now_ms);
+    }
+
+    /// Sends a load report when it is due, at once if the suspicion has changed.
+    fn report_load(&mut self, load: TargetLoad, now_ms: u64) {
+        let since_report_ms = now_ms.saturating_sub(self.load_reported_at_ms);
+        let is_due = since_report_ms >= self.peering.load_interval_ms();
+        // A load report also serves as a liveness signal, so it is sent even when nothing has
+        // changed.
+        let is_changed = load.running != self.reported_load.running
+            || load.is_suspect != self.reported_load.is_suspect;
+        let is_overdue = since_report_ms >= u64::from(MAX_LOAD_INTERVAL_MS);
+        if !self.is_suspicion_unreported && !(is_due && (is_changed || is_overdue)) {
+            return;
+        }
+        self.is_suspicion_unreported = false;
+        let since_classes_ms = now_ms.saturating_sub(self.classes_reported_at_ms);
+        let class_responses = if since_classes_ms >= SUSPICION_INTERVAL_MS {
+            self.classes_reported_at_ms = now_ms;
+            self.suspicion.class_responses(now_ms)
+        } else {
+            Vec::new()
+        };
+        self.peering.broadcast_load(&load, &class_responses);
+        self.reported_load = load;
+        self.load_reported_at_ms = now_ms;
+    }
+
     /// Sends the current presence and load to all known instances.
     fn broadcast_state(&mut self, now_ms: u64) {
         let load = self.load(now_ms);
@@ -407,6 +524,7 @@
     /// Runs the periodic work: reports, slot requests, registrations and sweeps.
     pub fn tick(&mut self, now_ms: u64) {
         self.flows.set_capacity(self.capacity());
+        self.update_suspicion(now_ms);
         let load = self.load(now_ms);
         let version = self.route_version;
         let presence = self.peering.presence(version, Some(load.clone()), now_ms);
@@ -422,17 +540,8 @@
             self.broadcast_state(now_ms);
         }
         self.peering.tick(version, Some(load.clone()), now_ms);
-        let since_report_ms = now_ms.saturating_sub(self.load_reported_at_ms);
         self.peering.update_load_receivers(version, &load, now_ms);
-        let is_due = since_report_ms >= self.peering.load_interval_ms();
-        // A load report also serves as a liveness signal, so it is sent even when nothing has
-        // changed.
-        let is_changed = load.running != self.reported_load.running;
-        if is_due && (is_changed || since_report_ms >= u64::from(MAX_LOAD_INTERVAL_MS)) {
-            self.peering.broadcast_load(&load);
-            self.reported_load = load;
-            self.load_reported_at_ms = now_ms;
-        }
+        self.report_load(load, now_ms);
         if !self.syn_queue.is_empty() {
             self.request_slots(now_ms);
         }
--- a/src/forward/agent/flows.rs
+++ b/src/forward/agent/flows.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::suspicion::{MIN_MISSING_MS, Outcome};
 use crate::flow::packet::{FlowKey, Segment};
 
 /// Time after which a request without a response no longer counts as in progress.
@@ -59,6 +60,10 @@
     /// The caller's last packet without data, with which the target can be asked whether it holds
     /// the flow; empty before the first one.
     bare_packet: Vec<u8>,
+    /// Whether the request in progress has come in several packets, some of which may be missing.
+    has_long_request: bool,
+    /// Whether the flow was opened at an earlier incarnation of the target, which has lost it.
+    predates_target: bool,
 }
 
 impl AgentFlow {
@@ -152,6 +157,16 @@
     },
 }
 
+/// Effect of a packet that the target has sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetPacket {
+    /// Whether the packet added a flow that was not known before.
+    pub adds_flow: bool,
+    /// What became of the request in progress; `None` if the packet does not end one, or if it says
+    /// nothing about the current incarnation of the target.
+    pub outcome: Option<Outcome>,
+}
+
 /// Timing of a response that has started.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ResponseTiming {
@@ -175,6 +190,11 @@
     requests: u32,
     /// Responses that have started since they were last taken.
     responses: Vec<ResponseTiming>,
+    /// Requests by arrival, with the time of it, for at least as long as they are too young to be
+    /// missing their response.
+    recent_requests: VecDeque<(FlowKey, u64)>,
+    /// Older requests without a response.
+    overdue_requests: Vec<(FlowKey, u64)>,
     /// Number of requests that the target runs concurrently.
     capacity: u32,
     service_time: ServiceTime,
@@ -259,6 +279,8 @@
             syn_ack_sequence: None,
             syn_queued_ms: queued_ms,
             bare_packet: Vec::new(),
+            has_long_request: false,
+            predates_target: false,
         };
         self.flows.insert(flow, entry);
         self.awaiting_request.push_back((flow, now_ms));
@@ -295,10 +317,14 @@
             entry.request_end_sequence = end;
             if entry.request_started_at_ms.is_none() {
                 entry.request_started_at_ms = Some(now_ms);
+                entry.has_long_request = false;
                 starts_request = true;
+                self.recent_requests.push_back((flow, now_ms));
                 self.service_time
                     .accumulate(self.requests, self.capacity, now_ms);
                 self.requests += 1;
+            } else {
+                entry.has_long_request = true;
             }
         }
         if segment.data_len > 0 || segment.flags.rst {
@@ -313,12 +339,20 @@
         }
     }
 
-    /// Records a packet that the target sends to a caller. Returns whether this added a flow that
-    /// was not known before.
-    pub fn record_target_packet(&mut self, flow: FlowKey, segment: &Segment, now_ms: u64) -> bool {
+    /// Records a packet that the target sends to a caller.
+    pub fn record_target_packet(
+        &mut self,
+        flow: FlowKey,
+        segment: &Segment,
+        now_ms: u64,
+    ) -> TargetPacket {
         let is_new = !self.flows.contains_key(&flow);
+        let mut outcome = None;
         if is_new && (segment.flags.rst || segment.flags.syn || segment.flags.fin) {
-            return false;
+            return TargetPacket {
+                adds_flow: false,
+                outcome,
+            };
         }
         let entry = self.flows.entry(flow).or_insert(AgentFlow {
             stage: Stage::Open,
@@ -329,6 +363,8 @@
             syn_ack_sequence: None,
             syn_queued_ms: 0,
             bare_packet: Vec::new(),
+            has_long_request: false,
+            predates_target: false,
         });
         if segment.flags.syn {
             entry.syn_ack_sequence = Some(segment.sequence);
@@ -337,11 +373,20 @@
         if segment.flags.fin {
             entry.stage = Stage::Closed;
         }
+        let is_judged = !entry.predates_target;
+        if segment.flags.rst && is_judged && entry.request_started_at_ms.is_some() {
+            outcome = Some(Outcome::Reset);
+        }
         let is_response = segment.data_len > 0 || segment.flags.fin;
         if is_response && let Some(since_ms) = entry.request_started_at_ms.take() {
+            let latency_ms = now_ms.saturating_sub(since_ms);
+            outcome = outcome.or(is_judged.then_some(Outcome::Response {
+                latency_ms,
+                first_packet_len: segment.data_len,
+            }));
             self.responses.push(ResponseTiming {
                 flow,
-                latency_ms: now_ms.saturating_sub(since_ms),
+                latency_ms,
                 queued_ms: std::mem::take(&mut entry.syn_queued_ms),
             });
             self.service_time
@@ -352,7 +397,49 @@
         if segment.flags.rst {
             self.remove(flow, now_ms);
         }
-        is_new
+        TargetPacket {
+            adds_flow: is_new,
+            outcome,
+        }
+    }
+
+    /// Returns the requests that have newly been without a response for too long, with the time
+    /// since their arrival. `missing_after_ms` gives the limit of a flow's class; `None` if it has
+    /// none.
+    pub fn take_missing(
+        &mut self,
+        missing_after_ms: impl Fn(FlowKey) -> Option<u64>,
+        now_ms: u64,
+    ) -> Vec<(FlowKey, u64)> {
+        let waited_ms = |since_ms: u64| now_ms.saturating_sub(since_ms);
+        while let Some(&(flow, since_ms)) = self.recent_requests.front()
+            && waited_ms(since_ms) >= MIN_MISSING_MS
+        {
+            self.recent_requests.pop_front();
+            self.overdue_requests.push((flow, since_ms));
+        }
+        let flows = &self.flows;
+        self.overdue_requests.retain(|(flow, since_ms)| {
+            flows.get(flow).is_some_and(|entry| {
+                entry.request_started_at_ms == Some(*since_ms)
+                    && !entry.has_long_request
+                    && !entry.predates_target
+            })
+        });
+        let is_missing = |request: &mut (FlowKey, u64)| {
+            missing_after_ms(request.0).is_some_and(|limit_ms| waited_ms(request.1) >= limit_ms)
+        };
+        let missing = self.overdue_requests.extract_if(.., is_missing);
+        missing
+            .map(|(flow, since_ms)| (flow, waited_ms(since_ms)))
+            .collect()
+    }
+
+    /// Stops expecting responses to the requests in progress, which may be unread because this
+    /// process was paused.
+    pub fn forget_recent_requests(&mut self) {
+        self.recent_requests.clear();
+        self.overdue_requests.clear();
     }
 
     /// Stops counting a flow as an occupied slot for its first request.
@@ -391,6 +478,10 @@
     /// previous one.
     pub fn restart_target(&mut self) -> Vec<Vec<u8>> {
         self.service_time = ServiceTime::default();
+        self.forget_recent_requests();
+        for entry in self.flows.values_mut() {
+            entry.predates_target = true;
+        }
         let open = self.flows.values().filter(|f| f.stage == Stage::Open);
         let packets = open.map(|entry| entry.bare_packet.clone());
         packets.filter(|packet| !packet.is_empty()).collect()
--- a/src/forward/agent/mod.rs
+++ b/src/forward/agent/mod.rs
@@ -11,6 +11,7 @@
 pub mod probe;
 pub mod recovery;
 pub mod slot_requests;
+pub mod suspicion;
 pub mod syn;
 pub mod syn_queue;
 pub mod target;
--- a/src/forward/agent/slot_requests.rs
+++ b/src/forward/agent/slot_requests.rs
@@ -74,6 +74,7 @@
         let siblings = directory.members().iter().filter(|member| {
             member.serves(service)
                 && member.load.state == TargetState::Ready
+                && !member.load.is_suspect
                 && member.is_staying(now_ms)
                 && !directory.is_local(member)
         });
--- a/src/forward/agent/syn.rs
+++ b/src/forward/agent/syn.rs
@@ -67,6 +67,12 @@
         if self.syn_queue.contains(flow) {
             return AgentVerdict::Drop;
         }
+        if !self.flows.contains(flow)
+            && hop.tried + 1 < MAX_PLACEMENTS
+            && self.avoids_local_target(now_ms)
+        {
+            return self.redirect_syn(datagram, segment, hop, false, now_ms);
+        }
         if hop.tried == 0
             && self.outstanding_requests() >= self.capacity()
             && self.is_cheaper_elsewhere(flow, now_ms)
@@ -86,6 +92,7 @@
     fn admit(&mut self, flow: FlowKey, hop: HopMetadata, waited_ms: u64, now_ms: u64) {
         self.flows.record_syn(flow, waited_ms, now_ms);
         self.target.record_syn(now_ms);
+        self.suspicion.record_admitted(now_ms);
         self.notify_entry_balancer(flow, hop);
     }
 
@@ -142,9 +149,10 @@
         });
         self.peering.decisions.extend(ended);
         while !self.syn_queue.is_empty() {
+            let avoids_target = self.avoids_local_target(now_ms);
             let is_free = self.target.accepts_syn(now_ms)
                 && self.flows.running() < self.admission_limit(now_ms);
-            if !is_free && !self.has_free_slot_elsewhere(now_ms) {
+            if !is_free && !avoids_target && !self.has_free_slot_elsewhere(now_ms) {
                 return;
             }
             let rate = self.service_rate(now_ms);
@@ -154,7 +162,7 @@
             let hop = self.format.read_hop_metadata(&syn.datagram);
             let may_redirect = hop.tried + 1 < MAX_PLACEMENTS;
             let verdict = match self.format.decode(&syn.datagram) {
-                _ if is_free => {
+                _ if is_free && !(avoids_target && may_redirect) => {
                     let waited_ms = now_ms.saturating_sub(syn.queued_at_ms);
                     self.peering.decisions.push(Decision::Admitted {
                         flow: syn.flow,
@@ -192,7 +200,10 @@
 
     /// Grants free slots of the local target to the siblings that have requested one.
     pub fn grant_slots(&mut self, now_ms: u64) {
-        if self.target.state(now_ms) != TargetState::Ready || !self.syn_queue.is_empty() {
+        if self.target.state(now_ms) != TargetState::Ready
+            || self.suspicion.is_suspect(now_ms)
+            || !self.syn_queue.is_empty()
+        {
             return;
         }
         let free = self.capacity().saturating_sub(self.outstanding_requests());
@@ -227,6 +238,7 @@
             flow: syn.flow,
             agent: name,
             is_returned: false,
+            is_suspect: self.suspicion.is_suspect(now_ms),
             running: self.outstanding_requests(),
         });
         let verdict = AgentVerdict::Instance(address);
@@ -238,6 +250,14 @@
         std::mem::take(&mut self.dispatched)
     }
 
+    /// Whether new flows are to be sent to other targets because the local one is suspect.
+    fn avoids_local_target(&self, now_ms: u64) -> bool {
+        self.suspicion.is_suspect(now_ms)
+            && self.service().is_some_and(|service| {
+                placement::avoids_suspects(&self.peering.directory, &service, now_ms)
+            })
+    }
+
     /// Whether a recent report shows a free slot at another target of the service.
     fn has_free_slot_elsewhere(&self, now_ms: u64) -> bool {
         let Some(service) = self.service() else {
@@ -247,6 +267,7 @@
             member.serves(&service)
                 && !self.peering.directory.is_local(member)
                 && member.load.state == TargetState::Ready
+                && !member.load.is_suspect
                 && member.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS
                 && member.expected_running() < member.load.capacity
         })
@@ -337,6 +358,7 @@
             flow,
             agent: name,
             is_returned,
+            is_suspect: self.suspicion.is_suspect(now_ms),
             running: self.outstanding_requests(),
         });
         AgentVerdict::Instance(address)
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,7 +4,10 @@
 
 use slog::{Logger, info, warn};
 
-use super::absence::AbsenceGround;
+use super::{
+    absence::AbsenceGround,
+    agent::suspicion::{Outcome, SuspicionChange},
+};
 use crate::{
     flow::{
         packet::{FlowKey, Lookup},
@@ -133,6 +136,8 @@
         agent: Arc<str>,
         /// Whether the local target returned the SYN.
         is_returned: bool,
+        /// Whether the local target is suspect.
+        is_suspect: bool,
         /// Requests in progress at the local target, queued SYNs included.
         running: u32,
     },
@@ -271,6 +276,15 @@
         /// Sequence number of the heartbeat; 0 if the target announced its exit.
         sequence: u64,
     },
+    /// The local target has become suspect, has had a relapse or is trusted again.
+    SuspicionChanged {
+        /// What has changed.
+        change: SuspicionChange,
+        /// Number of suspect targets of the service before, as this agent knows them.
+        suspects: usize,
+        /// Number of targets of the service that accept flows.
+        targets: usize,
+    },
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -330,9 +344,9 @@
             | Decision::FlowsReturned { .. }
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
-            Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
-                &mut self.local_limit
-            }
+            Decision::TargetChanged { .. }
+            | Decision::SuspicionChanged { .. }
+            | Decision::RoutesChanged { .. } => &mut self.local_limit,
             _ => &mut self.flow_limit,
         }
     }
@@ -341,6 +355,9 @@
 fn event(decision: &Decision) -> Event {
     match decision {
         Decision::Placed { .. } => Event::FlowPlaced,
+        Decision::Redirected {
+            is_suspect: true, ..
+        } => Event::FlowKeptFromSuspect,
         Decision::Redirected { .. } => Event::FlowPassedOn,
         Decision::Queued { .. } => Event::FlowWaits,
         Decision::Admitted { .. } => Event::FlowAdmitted,
@@ -361,6 +378,11 @@
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
+        Decision::SuspicionChanged {
+            change: SuspicionChange::Suspected(_),
+            ..
+        } => Event::TargetSuspected,
+        Decision::SuspicionChanged { .. } => Event::TargetTrusted,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
     }
 }
@@ -376,6 +398,39 @@
         "awaited" => awaited, "silent_ms" => silent_ms, "left_out" => suppressed);
 }
 
+fn write_suspicion(
+    log: &Logger,
+    change: SuspicionChange,
+    (suspects, targets): (usize, usize),
+    suppressed: u64,
+) {
+    match change {
+        SuspicionChange::Suspected(figures) => {
+            let (outcome, latency_ms, len) = match figures.outcome {
+                Outcome::Response {
+                    latency_ms,
+                    first_packet_len,
+                } => ("response", latency_ms, first_packet_len),
+                Outcome::Reset => ("reset", 0, 0),
+                Outcome::Missing { waited_ms } => ("missing", waited_ms, 0),
+            };
+            warn!(log, "target suspected"; "failed" => figures.failed, "judged" => figures.judged,
+                "outcome" => outcome, "latency_ms" => latency_ms, "first_packet_len" => len,
+                "sibling_latency_ms" => figures.reference.latency_ms,
+                "sibling_first_packet_len" => figures.reference.first_packet_len,
+                "siblings" => figures.reference.siblings, "pause_ms" => figures.pause_ms,
+                "is_relapse" => figures.is_relapse, "suspects" => suspects, "targets" => targets,
+                "left_out" => suppressed);
+        }
+        SuspicionChange::Trusted {
+            reason,
+            suspect_for_ms,
+        } => info!(log, "target trusted again"; "reason" => reason.name(),
+            "suspect_for_ms" => suspect_for_ms, "suspects" => suspects, "targets" => targets,
+            "left_out" => suppressed),
+    }
+}
+
 /// Logs a decision. `suppressed` is the number of lines left out by the rate limit since the last
 /// one.
 fn write(log: &Logger, decision: Decision, suppressed: u64) {
@@ -394,9 +449,11 @@
             flow,
             agent,
             is_returned,
+            is_suspect,
             running,
         } => info!(log, "flow redirected to another agent"; "flow" => %flow, "agent" => &*agent,
-            "is_returned" => is_returned, "running" => running, "left_out" => suppressed),
+            "is_returned" => is_returned, "is_suspect" => is_suspect, "running" => running,
+            "left_out" => suppressed),
         Decision::Queued {
             flow,
             running,
@@ -466,6 +523,11 @@
             sequence,
         } => info!(log, "target changed"; "target" => &*target, "state" => ?state,
             "sequence" => sequence, "left_out" => suppressed),
+        Decision::SuspicionChanged {
+            change,
+            suspects,
+            targets,
+        } => write_suspicion(log, change, (suspects, targets), suppressed),
         Decision::RoutesChanged {
             version,
             previous,
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -12,7 +12,7 @@
     flow::routes::RouteVersion,
     membership::{
         directory::{Directory, Member, MemberChange},
-        instance::{Instance, InstanceRole, Presence, TargetLoad},
+        instance::{ClassResponses, Instance, InstanceRole, Presence, TargetLoad},
     },
 };
 
@@ -413,10 +413,16 @@
         }
     }
 
-    /// Sends a load report to its receivers.
-    pub fn broadcast_load(&mut self, load: &TargetLoad) {
+    /// Sends a load report to its receivers. Agents are also sent the responses by class, with which
+    /// they compare those of their own targets.
+    pub fn broadcast_load(&mut self, load: &TargetLoad, class_responses: &[ClassResponses]) {
         for address in &self.load_receivers {
-            self.outbox.push(*address, Notice::Load(load.clone()));
+            let mut load = load.clone();
+            let receiver = self.directory.by_control_address(*address);
+            if receiver.is_some_and(|member| member.instance.role == InstanceRole::Agent) {
+                load.class_responses = class_responses.to_vec();
+            }
+            self.outbox.push(*address, Notice::Load(load));
         }
     }
 
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
+    instance::{ClassResponses, Instance, InstanceRole, Presence, TargetLoad, TargetState},
     rendezvous::{name_hash, tag, weight},
 };
 
@@ -82,6 +82,10 @@
     pub reached_store_at_ms: Option<u64>,
     /// Last reported load of the instance's target.
     pub load: TargetLoad,
+    /// Last reported responses of the instance's target by class; empty if there are none.
+    pub class_responses: Vec<ClassResponses>,
+    /// Time of that report; 0 before the first one.
+    pub class_responses_at_ms: u64,
     /// Number of flows placed on the target since the last load report.
     pub placed_since_report: u32,
     /// Time of the last load report or, without any, time at which the member was added.
@@ -107,6 +111,8 @@
             is_in_rotation: false,
             reached_store_at_ms: None,
             load: TargetLoad::default(),
+            class_responses: Vec::new(),
+            class_responses_at_ms: 0,
             placed_since_report: 0,
             load_reported_at_ms: now_ms,
             suspect_after_ms: SUSPECT_AFTER_MS,
@@ -475,8 +481,17 @@
     }
 
     /// Replaces the load of a member and resets the number of flows placed since the report.
-    fn update_load(&mut self, index: usize, load: TargetLoad, now_ms: u64) -> Option<MemberChange> {
+    fn update_load(
+        &mut self,
+        index: usize,
+        mut load: TargetLoad,
+        now_ms: u64,
+    ) -> Option<MemberChange> {
         let member = &mut self.members[index];
+        if !load.class_responses.is_empty() {
+            member.class_responses = std::mem::take(&mut load.class_responses);
+            member.class_responses_at_ms = now_ms;
+        }
         let is_changed = member.load.state != load.state || member.load.service != load.service;
         if member.load.service != load.service {
             self.generation += 1;
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -98,6 +98,42 @@
     Absent,
 }
 
+/// Maximum number of classes whose responses are read from a load report.
+const MAX_CLASSES: usize = 8;
+
+/// Recent responses of a target to the requests of a class, which is an address that callers use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClassResponses {
+    /// Hash of the address.
+    pub tag: u16,
+    /// Median time from a request to the first packet of its response, in milliseconds.
+    pub latency_ms: u32,
+    /// Median length of the data of that packet, in bytes.
+    pub first_packet_len: u32,
+    /// Number of responses that the medians are taken from.
+    pub samples: u32,
+}
+
+impl ClassResponses {
+    fn to_message(self) -> wire::ClassResponses {
+        wire::ClassResponses {
+            tag: self.tag.into(),
+            latency_ms: self.latency_ms,
+            first_packet_len: self.first_packet_len,
+            samples: self.samples,
+        }
+    }
+
+    fn from_message(message: &wire::ClassResponses) -> Option<Self> {
+        Some(Self {
+            tag: u16::try_from(message.tag).ok()?,
+            latency_ms: message.latency_ms,
+            first_packet_len: message.first_packet_len,
+            samples: message.samples,
+        })
+    }
+}
+
 /// Load of a target.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TargetLoad {
@@ -116,6 +152,10 @@
     /// Remaining time of the slow phase after the start of the target, in milliseconds; 0 once it
     /// is over.
     pub cold_left_ms: u32,
+    /// Whether the target is suspected to fail requests, so that it gets no new flows.
+    pub is_suspect: bool,
+    /// Responses of the target by class; empty in most reports.
+    pub class_responses: Vec<ClassResponses>,
 }
 
 impl TargetLoad {
@@ -139,6 +179,12 @@
             flows: self.flows,
             service_time_us: self.service_time_us,
             cold_left_ms: self.cold_left_ms,
+            is_suspect: self.is_suspect,
+            class_responses: self
+                .class_responses
+                .iter()
+                .map(|class| class.to_message())
+                .collect(),
         }
     }
 
@@ -161,6 +207,13 @@
             flows: message.flows,
             service_time_us: message.service_time_us,
             cold_left_ms: message.cold_left_ms,
+            is_suspect: message.is_suspect,
+            class_responses: message
+                .class_responses
+                .iter()
+                .take(MAX_CLASSES)
+                .filter_map(ClassResponses::from_message)
+                .collect(),
         }
     }
 }
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -67,6 +67,12 @@
     MemberChanged => "member_changed",
     /// The state of the local target has changed.
     TargetChanged => "target_changed",
+    /// The local target was suspected of failing requests, or has had a relapse.
+    TargetSuspected => "target_suspected",
+    /// The local target is trusted again.
+    TargetTrusted => "target_trusted",
+    /// The agent of a suspect target redirected a SYN to another agent.
+    FlowKeptFromSuspect => "flow_kept_from_suspect",
     /// The routes were updated.
     RoutesChanged => "routes_changed",
     /// A notice that cannot be decoded was dropped.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,9 @@
 /// flow open occupies a slot for a few hundredths of the time.
 const IDLE_FLOW_PERCENT: u64 = 3;
 
+/// The suspect targets of a service are avoided if they are at most one in this many.
+const MAX_SUSPECTS_DIVISOR: usize = 3;
+
 /// Maximum number of targets compared for a flow. If it were larger, all balancers with the same
 /// load reports would choose the same target until the next report.
 const MAX_SAMPLED: u64 = 8;
@@ -131,6 +134,7 @@
     if members.iter().any(is_reporting) {
         members.retain(is_reporting);
     }
+    retain_trusted(&mut members);
     sample(request.hash, members.len())
         .filter_map(|index| members.get(index))
         .min_by_key(|member| {
@@ -141,6 +145,41 @@
         .copied()
 }
 
+/// Whether so few targets are suspect that the suspicion is credible. With more, all of them fail
+/// alike or what is known of them is wrong.
+fn is_credible(suspects: usize, targets: usize) -> bool {
+    suspects * MAX_SUSPECTS_DIVISOR <= targets
+}
+
+/// Removes the suspect targets if that is credible.
+fn retain_trusted(members: &mut Vec<&Member>) {
+    let suspects = members.iter().filter(|m| m.load.is_suspect).count();
+    if suspects > 0 && is_credible(suspects, members.len()) {
+        members.retain(|member| !member.load.is_suspect);
+    }
+}
+
+/// Numbers of the suspect targets of a service and of all its targets that accept flows.
+#[must_use]
+pub fn count_suspects(directory: &Directory, service: &str, now_ms: u64) -> (usize, usize) {
+    let accepting = directory.members().iter().filter(|member| {
+        member.serves(service)
+            && member.load.state == TargetState::Ready
+            && member.is_staying(now_ms)
+    });
+    accepting.fold((0, 0), |(suspects, targets), member| {
+        let is_suspect = usize::from(member.load.is_suspect);
+        (suspects + is_suspect, targets + 1)
+    })
+}
+
+/// Whether new flows avoid the suspect targets of a service, which then has others.
+#[must_use]
+pub fn avoids_suspects(directory: &Directory, service: &str, now_ms: u64) -> bool {
+    let (suspects, targets) = count_suspects(directory, service, now_ms);
+    suspects < targets && is_credible(suspects, targets)
+}
+
 /// Indices below `len` of the targets that are compared, in an order that depends on `hash`.
 fn sample(hash: u64, len: usize) -> impl Iterator<Item = usize> {
     let len = len as u64;
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -60,7 +60,7 @@
     pub control_port: u32,
 }
 /// State of the sender, sent to all known instances at intervals.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Presence {
     /// The sender.
     #[prost(message, optional, tag = "1")]
@@ -100,7 +100,7 @@
     pub leaving_for_ms: u32,
 }
 /// Load of a target.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Load {
     /// Whether the target accepts new flows.
     #[prost(enumeration = "TargetState", tag = "1")]
@@ -125,6 +125,30 @@
     /// over.
     #[prost(uint32, tag = "7")]
     pub cold_left_ms: u32,
+    /// Whether the target fails requests according to its agent, so that it is not assigned flows while
+    /// other targets accept them.
+    #[prost(bool, tag = "8")]
+    pub is_suspect: bool,
+    /// Responses of the target by class. Sent in load reports to agents, at most every 200 ms; at most 8
+    /// classes.
+    #[prost(message, repeated, tag = "9")]
+    pub class_responses: ::prost::alloc::vec::Vec<ClassResponses>,
+}
+/// Recent responses of a target to the requests of a class.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ClassResponses {
+    /// Hash of the address that callers open flows to.
+    #[prost(uint32, tag = "1")]
+    pub tag: u32,
+    /// Median time from a request to the first packet of its response, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub latency_ms: u32,
+    /// Median length of the data of that packet, in bytes.
+    #[prost(uint32, tag = "3")]
+    pub first_packet_len: u32,
+    /// Number of responses that the medians are taken from.
+    #[prost(uint32, tag = "4")]
+    pub samples: u32,
 }
 /// Request for a free slot of the receiver's target, sent while the sender has queued SYNs.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -43,6 +43,8 @@
 const RETURNED: u8 = 64;
 const FLAGS_OFFSET: usize = 10;
 const PAD_OFFSET: usize = 11;
+/// Length of the first packet of a failing target's response.
+const ERROR_LEN: u16 = 150;
 /// Default step of the virtual clock.
 const TICK_MS: u64 = 10;
 /// A reset ends an open flow if its sequence number is at most this far from the acknowledgement
@@ -135,6 +137,17 @@
     }
 }
 
+/// How a target fails a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// A short response in the next step of the clock, whether the request was run or not.
+    Error,
+    /// A reset of the flow.
+    Reset,
+    /// No response.
+    Silence,
+}
+
 /// Target with slots and a first-in-first-out queue. It returns packets of flows that it does not
 /// hold.
 pub struct SimulatedTarget {
@@ -159,6 +172,16 @@
     pub refused: Vec<FlowKey>,
     /// Flow of each packet other than a SYN that the target has returned.
     pub denied: Vec<FlowKey>,
+    /// Length of the first packet of a response.
+    pub response_len: u16,
+    /// Whether service times vary by half of the mean, and lengths of responses by 60%.
+    pub is_varied: bool,
+    /// How the target fails requests, and how many of 1,000; `None` if it serves all.
+    pub failure: Option<(Failure, u32)>,
+    /// Flow of each request that the target has failed.
+    pub failed: Vec<FlowKey>,
+    /// Flows of the errors that are sent in the next step of the clock.
+    errors: Vec<FlowKey>,
     /// Flow and end time of each request that occupies a slot.
     running: Vec<(FlowKey, u64)>,
     /// Flows of the requests that wait for a slot.
@@ -178,6 +201,11 @@
             is_starting: false,
             refused: Vec::new(),
             denied: Vec::new(),
+            response_len: 50,
+            is_varied: false,
+            failure: None,
+            failed: Vec::new(),
+            errors: Vec::new(),
             running: Vec::new(),
             queue: VecDeque::new(),
         }
@@ -225,11 +253,51 @@
         }
         if segment.data_len > 0 {
             self.requests.push(key);
-            self.queue.push_back(key);
+            let failure = self.failure;
+            let failure = failure.filter(|(_, permille)| self.random(1_000) < *permille);
+            let Some((failure, _)) = failure else {
+                self.queue.push_back(key);
+                return Vec::new();
+            };
+            self.failed.push(key);
+            match failure {
+                Failure::Error => self.errors.push(key),
+                Failure::Reset => {
+                    self.flows.retain(|flow| *flow != key);
+                    let sequence = segment.acknowledged;
+                    return vec![datagram(key.service, key.caller, RST, sequence, 0, 0)];
+                }
+                Failure::Silence => {}
+            }
         }
         Vec::new()
     }
 
+    /// A number below `bound` that depends on the number of requests received.
+    fn random(&self, bound: u32) -> u32 {
+        let requests = u64::try_from(self.requests.len()).expect("few requests");
+        u32::try_from(weight(requests, self.sequence.into()) % u64::from(bound)).expect("in range")
+    }
+
+    /// Time to serve the next request.
+    fn next_service_ms(&self) -> u64 {
+        if self.is_varied {
+            self.service_ms * u64::from(50 + self.random(101)) / 100
+        } else {
+            self.service_ms
+        }
+    }
+
+    /// Length of the first packet of the next response.
+    fn next_response_len(&self) -> u16 {
+        let varied = u32::from(self.response_len) * (40 + self.random(121)) / 100;
+        if self.is_varied {
+            u16::try_from(varied.min(1_200)).expect("in range")
+        } else {
+            self.response_len
+        }
+    }
+
     /// Whether a packet belongs to a flow of this target, whose SYN+ACK it acknowledges.
     fn has_opened(&self, segment: &Segment) -> bool {
         let acknowledges_syn = segment.acknowledged.wrapping_sub(self.sequence) < 1_000;
@@ -238,19 +306,24 @@
 
     /// Completes the requests that are due, starts queued ones and returns the responses.
     fn advance(&mut self, now_ms: u64) -> Vec<Vec<u8>> {
-        let mut responses = Vec::new();
+        let sequence = self.sequence.wrapping_add(1);
+        let response =
+            |key: FlowKey, len| datagram(key.service, key.caller, ACK, sequence, 108, len);
+        let errors = self.errors.drain(..);
+        let mut responses: Vec<_> = errors.map(|key| response(key, ERROR_LEN)).collect();
+        let len = self.next_response_len();
         self.running.retain(|(key, ends_at_ms)| {
             let is_done = *ends_at_ms <= now_ms;
             if is_done {
-                let sequence = self.sequence.wrapping_add(1);
-                responses.push(datagram(key.service, key.caller, ACK, sequence, 108, 50));
+                responses.push(response(*key, len));
             }
             !is_done
         });
         while self.running.len() < self.capacity
             && let Some(key) = self.queue.pop_front()
         {
-            self.running.push((key, now_ms + self.service_ms));
+            let ends_at_ms = now_ms + self.next_service_ms();
+            self.running.push((key, ends_at_ms));
         }
         responses
     }
@@ -330,6 +403,8 @@
     /// Control addresses of instances and of the receivers that are told of them by neither the
     /// store nor other instances.
     pub unlisted: HashSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Whether load reports lose the figures about responses, so that no target is judged.
+    pub loses_class_responses: bool,
     /// Era of the store.
     era: u64,
     /// Control addresses of the agents whose entries a restore of the store has lost, with the time
@@ -395,6 +470,7 @@
             callers: HashMap::new(),
             lost_notices: HashSet::new(),
             unlisted: HashSet::new(),
+            loses_class_responses: false,
             era: 1,
             lost_entries: HashMap::new(),
             delayed: HashSet::new(),
@@ -647,6 +723,11 @@
                 if self.lost_notices.contains(&(from, to)) {
                     continue;
                 }
+                if let Notice::Load(load) = &mut notice
+                    && self.loses_class_responses
+                {
+                    load.class_responses.clear();
+                }
                 if let Notice::Members(instances) = &mut notice {
                     let unlisted = &self.unlisted;
                     instances.retain(|other| !unlisted.contains(&(other.control_address, to)));
