--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -24,7 +24,7 @@
     },
     forward::{
         absence::{FlowAbsence, TargetAnswer},
-        decision::Decision,
+        decision::{Decision, SuspicionReport},
         notices::{Notice, OwnerEvidence},
         peering::{MAX_LOAD_INTERVAL_MS, Peering},
     },
@@ -411,11 +411,14 @@
         let service = self.service().unwrap_or_default();
         let directory = &self.peering.directory;
         let (suspects, targets) = placement::count_suspects(directory, &service, now_ms);
-        self.peering.decisions.push(Decision::SuspicionChanged {
+        let report = SuspicionReport {
             change,
             suspects,
             targets,
-        });
+        };
+        self.peering
+            .decisions
+            .push(Decision::SuspicionChanged(report));
     }
 
     /// Finds requests without a response, and compares the responses with those of the siblings when
--- a/src/forward/agent/slot_requests.rs
+++ b/src/forward/agent/slot_requests.rs
@@ -9,7 +9,10 @@
 
 use std::{collections::VecDeque, net::SocketAddrV4};
 
-use crate::membership::{directory::Directory, instance::TargetState, rendezvous::weight};
+use crate::{
+    membership::{directory::Directory, instance::TargetState, rendezvous::weight},
+    placement,
+};
 
 /// Number of siblings that receive each request. With nine of ten targets busy, a third of the
 /// requests still find a free slot at once.
@@ -71,10 +74,11 @@
         }
         self.requested_at_ms = Some(now_ms);
         self.rounds += 1;
+        let avoids_suspects = placement::avoids_suspects(directory, service, now_ms);
         let siblings = directory.members().iter().filter(|member| {
             member.serves(service)
                 && member.load.state == TargetState::Ready
-                && !member.load.is_suspect
+                && !(avoids_suspects && member.load.is_suspect)
                 && member.is_staying(now_ms)
                 && !directory.is_local(member)
         });
--- a/src/forward/agent/syn.rs
+++ b/src/forward/agent/syn.rs
@@ -201,7 +201,7 @@
     /// Grants free slots of the local target to the siblings that have requested one.
     pub fn grant_slots(&mut self, now_ms: u64) {
         if self.target.state(now_ms) != TargetState::Ready
-            || self.suspicion.is_suspect(now_ms)
+            || self.avoids_local_target(now_ms)
             || !self.syn_queue.is_empty()
         {
             return;
@@ -267,9 +267,10 @@
             member.serves(&service)
                 && !self.peering.directory.is_local(member)
                 && member.load.state == TargetState::Ready
-                && !member.load.is_suspect
                 && member.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS
                 && member.expected_running() < member.load.capacity
+                && !(member.load.is_suspect
+                    && placement::avoids_suspects(&self.peering.directory, &service, now_ms))
         })
     }
 
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -110,6 +110,17 @@
     }
 }
 
+/// Change of the suspicion of the local target, with what the agent knows of the service's targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SuspicionReport {
+    /// What has changed.
+    pub change: SuspicionChange,
+    /// Number of suspect targets before the change.
+    pub suspects: usize,
+    /// Number of targets that accept flows.
+    pub targets: usize,
+}
+
 /// A forwarding decision or a state change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -277,14 +288,7 @@
         sequence: u64,
     },
     /// The local target has become suspect, has had a relapse or is trusted again.
-    SuspicionChanged {
-        /// What has changed.
-        change: SuspicionChange,
-        /// Number of suspect targets of the service before, as this agent knows them.
-        suspects: usize,
-        /// Number of targets of the service that accept flows.
-        targets: usize,
-    },
+    SuspicionChanged(SuspicionReport),
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -345,7 +349,7 @@
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
             Decision::TargetChanged { .. }
-            | Decision::SuspicionChanged { .. }
+            | Decision::SuspicionChanged(_)
             | Decision::RoutesChanged { .. } => &mut self.local_limit,
             _ => &mut self.flow_limit,
         }
@@ -378,11 +382,10 @@
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
-        Decision::SuspicionChanged {
-            change: SuspicionChange::Suspected(_),
-            ..
-        } => Event::TargetSuspected,
-        Decision::SuspicionChanged { .. } => Event::TargetTrusted,
+        Decision::SuspicionChanged(report) => match report.change {
+            SuspicionChange::Suspected(_) => Event::TargetSuspected,
+            SuspicionChange::Trusted { .. } => Event::TargetTrusted,
+        },
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
     }
 }
@@ -398,13 +401,9 @@
         "awaited" => awaited, "silent_ms" => silent_ms, "left_out" => suppressed);
 }
 
-fn write_suspicion(
-    log: &Logger,
-    change: SuspicionChange,
-    (suspects, targets): (usize, usize),
-    suppressed: u64,
-) {
-    match change {
+fn write_suspicion(log: &Logger, report: SuspicionReport, suppressed: u64) {
+    let (suspects, targets) = (report.suspects, report.targets);
+    match report.change {
         SuspicionChange::Suspected(figures) => {
             let (outcome, latency_ms, len) = match figures.outcome {
                 Outcome::Response {
@@ -523,11 +522,7 @@
             sequence,
         } => info!(log, "target changed"; "target" => &*target, "state" => ?state,
             "sequence" => sequence, "left_out" => suppressed),
-        Decision::SuspicionChanged {
-            change,
-            suspects,
-            targets,
-        } => write_suspicion(log, change, (suspects, targets), suppressed),
+        Decision::SuspicionChanged(report) => write_suspicion(log, report, suppressed),
         Decision::RoutesChanged {
             version,
             previous,
--- a/tests/extreme_numbers.rs
+++ b/tests/extreme_numbers.rs
@@ -52,7 +52,20 @@
 /// Load of a target as another instance may send it.
 fn any_load() -> impl Strategy<Value = wire::Load> {
     let numbers = (any_u32(), any_u32(), any_u32(), any_u32(), any_u32());
-    (-1..7_i32, numbers, any::<bool>()).prop_map(|(state, numbers, has_service)| {
+    let class = (any_u32(), any_u32(), any_u32(), any_u32());
+    let class =
+        class.prop_map(
+            |(tag, latency_ms, first_packet_len, samples)| wire::ClassResponses {
+                tag,
+                latency_ms,
+                first_packet_len,
+                samples,
+            },
+        );
+    let suspicion = (any::<bool>(), prop::collection::vec(class, 0..12));
+    let load = (-1..7_i32, numbers, any::<bool>(), suspicion);
+    load.prop_map(|(state, numbers, has_service, suspicion)| {
+        let (is_suspect, class_responses) = suspicion;
         let (capacity, running, flows, service_time_us, cold_left_ms) = numbers;
         wire::Load {
             state,
@@ -62,6 +75,8 @@
             flows,
             service_time_us,
             cold_left_ms,
+            is_suspect,
+            class_responses,
         }
     })
 }
--- a/tests/failing_targets.rs
+++ b/tests/failing_targets.rs
@@ -72,7 +72,7 @@
                     .send_from_caller(usize::from(number % 3), syn(number, 0));
             }
             for number in 0..self.long_flows {
-                let is_due = (self.sim.now_ms + u64::from(number)) % 100 == 0;
+                let is_due = (self.sim.now_ms + u64::from(number)).is_multiple_of(100);
                 let is_waiting = self.waiting.iter().any(|(_, from)| *from == caller(number));
                 if is_due && self.sim.is_open(number) && !is_waiting {
                     let request = self.long_request(number);
