--- a/src/forward/agent/suspicion.rs
+++ b/src/forward/agent/suspicion.rs
@@ -10,10 +10,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{flow::packet::FlowKey, membership::instance::ClassResponses};
+use crate::{
+    flow::packet::FlowKey,
+    membership::instance::{ClassResponses, MAX_CLASSES},
+};
 
-/// Maximum number of classes that are measured and reported.
-pub const MAX_CLASSES: usize = 8;
 /// Age after which the figures of siblings and the own samples of a class are not used.
 pub const FIGURES_TTL_MS: u64 = 3_000;
 /// Number of the most recent responses of a class whose medians are reported.
@@ -44,7 +45,7 @@
 /// Number of the most recent judged requests from which a target is suspected.
 const WINDOW: usize = 10;
 /// Minimum number of failed-looking ones among them. With three, normally distributed times and
-/// lengths of healthy targets give a false suspicion every few hundred thousand requests.
+/// lengths of healthy targets gave a false suspicion every 40,000 requests.
 const MIN_FAILED: usize = 4;
 /// Minimum number of requests judged since the start of the agent or the target, so that a few short
 /// responses of a fast target do not lead to a suspicion before it is known to be fast.
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -98,8 +98,8 @@
     Absent,
 }
 
-/// Maximum number of classes whose responses are read from a load report.
-const MAX_CLASSES: usize = 8;
+/// Maximum number of classes whose responses a load report contains.
+pub const MAX_CLASSES: usize = 8;
 
 /// Recent responses of a target to the requests of a class, which is an address that callers use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/tests/failing_targets.rs
+++ b/tests/failing_targets.rs
@@ -335,8 +335,10 @@
     load.sim.restart_target(0);
     load.sim.agents[0].target.response_len = 1_000;
     load.sim.agents[0].target.is_varied = true;
+    load.sim.agents[0].target.is_starting = true;
     // The next heartbeat, which tells the agent, comes within 500 ms.
     load.run(600);
+    load.sim.agents[0].target.is_starting = false;
     for _ in 0..10 {
         load.run(100);
         assert_eq!(load.suspects(), [0; 0]);
@@ -344,17 +346,39 @@
     assert!(!load.sim.agents[0].target.requests.is_empty());
 }
 
-/// An agent that starts knows nothing of its target, and one that was frozen has not read its
-/// responses yet.
+/// An agent that starts knows nothing of its target.
 #[test]
-fn a_restarted_agent_and_a_thawed_one_do_not_suspect_their_targets() {
+fn a_restarted_agent_does_not_suspect_its_target() {
     let mut load = Load::new(24);
     load.sim.restart_agent(0);
-    load.sim.freeze_agent(1);
+    for _ in 0..20 {
+        load.run(100);
+        assert_eq!(load.suspects(), [0; 0]);
+    }
+}
+
+/// An agent whose process was paused has not read its target's responses yet when it checks for
+/// missing ones.
+#[test]
+fn a_thawed_agent_does_not_suspect_its_target() {
+    let mut load = Load::new(96);
+    let agent = &load.sim.agents[0];
+    let flows = agent.target.flows.clone();
+    let flows = (0..96).filter(|number| flows.contains(&flow(*number)));
+    let flows: Vec<u16> = flows.collect();
+    assert!(flows.len() >= 4, "{flows:?}");
+    for number in flows {
+        let request = load.long_request(number);
+        load.sim.send_from_caller(0, request);
+    }
+    load.sim.freeze_agent(0);
     load.run(600);
-    load.sim.thaw_agent(1);
-    for _ in 0..100 {
-        load.run(10);
+    load.sim.agents[0].is_frozen = false;
+    load.sim.advance(1);
+    assert_eq!(load.suspects(), [0; 0]);
+    load.sim.thaw_agent(0);
+    for _ in 0..10 {
+        load.run(100);
         assert_eq!(load.suspects(), [0; 0]);
     }
 }
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -322,6 +322,18 @@
     insta::assert_snapshot!(results.join("\n"));
 }
 
+/// A health check that fails although the target serves its requests must not take it out of use.
+#[test]
+fn a_health_report_in_a_heartbeat_has_no_effect() {
+    let target = "10.1.0.12:8165".parse().unwrap();
+    let body = r#"{"service":"s","address":"10.1.0.12:8165","capacity":5,
+        "state":"ready","warmup_left_ms":0,"seq":4}"#;
+    let unhealthy = body.replace("\"seq\":4", r#""seq":4,"healthy":false,"health":"failing""#);
+    let decode = |body: &str| http::decode_heartbeat("i-1", body.as_bytes(), target);
+    assert!(decode(body).is_ok());
+    assert_eq!(decode(&unhealthy), decode(body));
+}
+
 const SETTINGS: &str = r#"
 node_name = "side-a-1"
 role = "agent"
--- a/tests/suspicion.rs
+++ b/tests/suspicion.rs
@@ -1,12 +1,13 @@
 //! Judgement of the local target by its agent, against the figures of the siblings.
 
 use bamboowind::{
-    flow::packet::FlowKey,
+    flow::packet::{Flags, FlowKey, Segment},
+    forward::agent::flows::AgentFlows,
     forward::agent::suspicion::{
-        ClassReference, MAX_CLASSES, Outcome, Suspicion, SuspicionChange, TrustedAgain,
-        class_references, class_tag,
+        ClassReference, Outcome, Suspicion, SuspicionChange, TrustedAgain, class_references,
+        class_tag,
     },
-    membership::instance::{ClassResponses, TargetLoad},
+    membership::instance::{ClassResponses, MAX_CLASSES, TargetLoad},
     proto::flow as wire,
 };
 use prost::Message;
@@ -400,3 +401,118 @@
         message.encoded_len()
     );
 }
+
+/// Packet of a caller with a request at this sequence number.
+fn request(sequence: u32) -> Segment {
+    Segment {
+        source: flow(1).caller,
+        destination: flow(1).service,
+        flags: Flags::default(),
+        sequence,
+        acknowledged: 1,
+        data_len: 100,
+    }
+}
+
+/// Flows of a target that has been sent a request on one at 100 ms.
+fn flows_with_request() -> AgentFlows {
+    let mut flows = AgentFlows::new();
+    flows.record_syn(flow(1), 0, 90);
+    let syn_ack = Segment {
+        flags: Flags {
+            syn: true,
+            ack: true,
+            ..Flags::default()
+        },
+        ..response_packet(0)
+    };
+    flows.record_target_packet(flow(1), &syn_ack, 95);
+    flows.record_caller_packet(flow(1), &request(8), &[], 100);
+    flows
+}
+
+fn response_packet(data_len: u16) -> Segment {
+    Segment {
+        source: flow(1).service,
+        destination: flow(1).caller,
+        flags: Flags::default(),
+        sequence: 0,
+        acknowledged: 8,
+        data_len,
+    }
+}
+
+fn reset_packet() -> Segment {
+    let flags = Flags {
+        rst: true,
+        ..Flags::default()
+    };
+    Segment {
+        flags,
+        ..response_packet(0)
+    }
+}
+
+#[test]
+fn the_first_packet_of_a_response_is_measured() {
+    let mut flows = flows_with_request();
+    let ack = flows.record_target_packet(flow(1), &response_packet(0), 101);
+    assert_eq!(ack.outcome, None);
+    let first = flows.record_target_packet(flow(1), &response_packet(1_200), 122);
+    assert_eq!(first.outcome, Some(response((22, 1_200))));
+    let second = flows.record_target_packet(flow(1), &response_packet(300), 123);
+    assert_eq!(second.outcome, None);
+}
+
+/// A reset without a request in progress is no failure, and neither is one of a flow that the target
+/// has lost with its previous incarnation.
+#[test]
+fn only_resets_of_requests_at_this_incarnation_of_the_target_are_failures() {
+    let mut flows = flows_with_request();
+    let reset = flows.record_target_packet(flow(1), &reset_packet(), 110);
+    assert_eq!(reset.outcome, Some(Outcome::Reset));
+
+    let mut flows = flows_with_request();
+    flows.record_target_packet(flow(1), &response_packet(100), 105);
+    let reset = flows.record_target_packet(flow(1), &reset_packet(), 110);
+    assert_eq!(reset.outcome, None);
+
+    let mut flows = flows_with_request();
+    flows.restart_target();
+    let reset = flows.record_target_packet(flow(1), &reset_packet(), 110);
+    assert_eq!(reset.outcome, None);
+}
+
+#[test]
+fn a_request_without_a_response_is_missing_it_once() {
+    let limit = |_| Some(600);
+    let mut flows = flows_with_request();
+    assert_eq!(flows.take_missing(limit, 699), []);
+    assert_eq!(flows.take_missing(|_| None, 700), []);
+    assert_eq!(flows.take_missing(limit, 700), [(flow(1), 600)]);
+    assert_eq!(flows.take_missing(limit, 900), []);
+}
+
+/// The response is not expected if it has started, if packets of the request may be missing, if the
+/// caller has given up, if the target has restarted, or if this process has not read for a while.
+#[test]
+fn requests_that_need_not_have_a_response_are_not_missing_it() {
+    let cases: [fn(&mut AgentFlows); 5] = [
+        |flows| {
+            flows.record_target_packet(flow(1), &response_packet(9), 300);
+        },
+        |flows| {
+            flows.record_caller_packet(flow(1), &request(108), &[], 101);
+        },
+        |flows| flows.remove(flow(1), 300),
+        |flows| {
+            flows.restart_target();
+        },
+        AgentFlows::forget_recent_requests,
+    ];
+    for (index, change) in cases.iter().enumerate() {
+        let mut flows = flows_with_request();
+        change(&mut flows);
+        assert_eq!(flows.take_missing(|_| Some(400), 900), [], "case {index}");
+    }
+}
