--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,7 +4,11 @@
 
 use slog::{Logger, info, warn};
 
-use super::{absence::AbsenceGround, evacuation::EvacuationSource};
+use super::{
+    absence::AbsenceGround,
+    agent::suspicion::{Outcome, SuspicionChange},
+    evacuation::EvacuationSource,
+};
 use crate::{
     flow::{
         packet::{FlowKey, Lookup},
@@ -114,6 +118,17 @@
     }
 }
 
+/// Change of the suspicion of the local target, with what the agent knows of the service's targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SuspicionReport {
+    /// What has changed.
+    pub change: SuspicionChange,
+    /// Number of suspect targets before the change.
+    pub suspects: usize,
+    /// Number of targets that accept flows.
+    pub targets: usize,
+}
+
 /// A forwarding decision or a state change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -142,6 +157,8 @@
         is_returned: bool,
         /// Whether the failure domain of this agent is evacuated.
         is_evacuated: bool,
+        /// Whether the local target is suspect.
+        is_suspect: bool,
         /// Requests in progress at the local target, queued SYNs included.
         running: u32,
     },
@@ -280,6 +297,8 @@
         /// Sequence number of the heartbeat; 0 if the target announced its exit.
         sequence: u64,
     },
+    /// The local target has become suspect, has had a relapse or is trusted again.
+    SuspicionChanged(SuspicionReport),
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -364,6 +383,7 @@
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
             Decision::TargetChanged { .. }
+            | Decision::SuspicionChanged(_)
             | Decision::RoutesChanged { .. }
             | Decision::EvacuationsChanged { .. }
             | Decision::RemainingTargetsFull { .. } => &mut self.local_limit,
@@ -375,6 +395,9 @@
 fn event(decision: &Decision) -> Event {
     match decision {
         Decision::Placed { .. } => Event::FlowPlaced,
+        Decision::Redirected {
+            is_suspect: true, ..
+        } => Event::FlowKeptFromSuspect,
         Decision::Redirected { .. } => Event::FlowPassedOn,
         Decision::Queued { .. } => Event::FlowWaits,
         Decision::Admitted { .. } => Event::FlowAdmitted,
@@ -395,6 +418,10 @@
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
+        Decision::SuspicionChanged(report) => match report.change {
+            SuspicionChange::Suspected(_) => Event::TargetSuspected,
+            SuspicionChange::Trusted { .. } => Event::TargetTrusted,
+        },
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
         Decision::EvacuationsChanged { .. } => Event::EvacuationsChanged,
         Decision::RemainingTargetsFull { .. } => Event::RemainingTargetsFull,
@@ -445,6 +472,35 @@
         "awaited" => awaited, "silent_ms" => silent_ms, "left_out" => suppressed);
 }
 
+fn write_suspicion(log: &Logger, report: SuspicionReport, suppressed: u64) {
+    let (suspects, targets) = (report.suspects, report.targets);
+    match report.change {
+        SuspicionChange::Suspected(figures) => {
+            let (outcome, latency_ms, len) = match figures.outcome {
+                Outcome::Response {
+                    latency_ms,
+                    first_packet_len,
+                } => ("response", latency_ms, first_packet_len),
+                Outcome::Reset => ("reset", 0, 0),
+                Outcome::Missing { waited_ms } => ("missing", waited_ms, 0),
+            };
+            warn!(log, "target suspected"; "failed" => figures.failed, "judged" => figures.judged,
+                "outcome" => outcome, "latency_ms" => latency_ms, "first_packet_len" => len,
+                "sibling_latency_ms" => figures.reference.latency_ms,
+                "sibling_first_packet_len" => figures.reference.first_packet_len,
+                "siblings" => figures.reference.siblings, "pause_ms" => figures.pause_ms,
+                "is_relapse" => figures.is_relapse, "suspects" => suspects, "targets" => targets,
+                "left_out" => suppressed);
+        }
+        SuspicionChange::Trusted {
+            reason,
+            suspect_for_ms,
+        } => info!(log, "target trusted again"; "reason" => reason.name(),
+            "suspect_for_ms" => suspect_for_ms, "suspects" => suspects, "targets" => targets,
+            "left_out" => suppressed),
+    }
+}
+
 /// Logs a decision. `suppressed` is the number of lines left out by the rate limit since the last
 /// one.
 #[allow(clippy::too_many_lines)] // One arm per decision, without logic.
@@ -465,9 +521,11 @@
             agent,
             is_returned,
             is_evacuated,
+            is_suspect,
             running,
         } => info!(log, "flow redirected to another agent"; "flow" => %flow, "agent" => &*agent,
-            "is_returned" => is_returned, "is_evacuated" => is_evacuated, "running" => running, "left_out" => suppressed),
+            "is_returned" => is_returned, "is_evacuated" => is_evacuated,
+            "is_suspect" => is_suspect, "running" => running, "left_out" => suppressed),
         Decision::Queued {
             flow,
             running,
@@ -537,6 +595,7 @@
             sequence,
         } => info!(log, "target changed"; "target" => &*target, "state" => ?state,
             "sequence" => sequence, "left_out" => suppressed),
+        Decision::SuspicionChanged(report) => write_suspicion(log, report, suppressed),
         Decision::RoutesChanged {
             version,
             previous,
