Limit the opening packets that a cold target is sent

Cause: a target that has just started, or whose failure domain has returned from an evacuation, serves only a part of its usual rate, while its free slots attract every sender at once.

Change: the service's warm-up time and rate are decoded from the operator's document and carried in route tables; the bounds come from the settings. The agent counts all SYNs that it sends to its target. To a cold one it sends them at the sustainable rate, and in any second at most rate x cold_over + cold_slack; the others are redirected, queued or refused. Load reports carry the allowance, which placement, redirects and slot grants respect. A started agent assumes that its predecessor has used up the limit, fetches its first route table without delay, and reads no packets before it has it (at most 500 ms, and only if another instance offers one).

SYNs count for 1,050 ms. The 50 ms are for an agent that is paused between the decision and the sending; the figure is chosen, not measured.

The test of numbers at the ends of their range now also generates the new field of load reports.

Not measured on a whole deployment.

--- a/src/flow/routes.rs
+++ b/src/flow/routes.rs
@@ -47,6 +47,63 @@
     }
 }
 
+/// How a target of a service warms up.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WarmUp {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Time for which a target is cold after it starts or its failure domain returns to service, in
+    /// milliseconds.
+    pub warmup_ms: u64,
+    /// Requests that a cold target sustains, per thousand seconds; 0 for no limit.
+    pub rate_per_1000_s: u64,
+}
+
+impl WarmUp {
+    /// Creates the figures of a service.
+    ///
+    /// ```
+    /// use bamboowind::flow::routes::WarmUp;
+    ///
+    /// let warm_up = WarmUp::new("catalogo", 4_000, 12_500);
+    /// assert_eq!(warm_up.rate_per_1000_s, 12_500); // 12.5 requests per second
+    /// ```
+    #[must_use]
+    pub fn new(service: impl Into<Arc<str>>, warmup_ms: u64, rate_per_1000_s: u64) -> Self {
+        Self {
+            service: service.into(),
+            warmup_ms,
+            rate_per_1000_s,
+        }
+    }
+}
+
+/// Largest decimal that [`thousandths`] converts.
+const MAX_DECIMAL: f64 = 1e9;
+
+/// Converts a decimal of the configuration to thousandths, rounded down. `None` if it is negative or
+/// no number; a very large one is reduced.
+///
+/// ```
+/// use bamboowind::flow::routes::thousandths;
+///
+/// assert_eq!(thousandths(12.5), Some(12_500));
+/// assert_eq!(thousandths(0.29), Some(290));
+/// assert_eq!(thousandths(-1.0), None);
+/// ```
+#[must_use]
+pub fn thousandths(decimal: f64) -> Option<u64> {
+    // 0.29 * 1,000 is slightly less than 290.
+    const ROUNDING: f64 = 1e-6;
+    if decimal.is_nan() || decimal < 0.0 {
+        return None;
+    }
+    // The value is not negative and far below the largest integer.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let thousandths = (decimal.min(MAX_DECIMAL) * 1_000.0 + ROUNDING) as u64;
+    Some(thousandths)
+}
+
 /// Version of a route table. A table is replaced only by one with a higher version.
 ///
 /// A store that was restored from an older copy may assign the number of a lost configuration to
@@ -81,6 +138,8 @@
     version: RouteVersion,
     idle_timeout_ms: u64,
     routes: Vec<Route>,
+    /// Services whose cold targets have a limited rate, sorted by name.
+    warm_ups: Vec<WarmUp>,
 }
 
 impl Default for RouteTable {
@@ -111,6 +170,7 @@
             version: RouteVersion::new(number, StoreEra::default()),
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             routes,
+            warm_ups: Vec::new(),
         }
     }
 
@@ -121,6 +181,17 @@
         self
     }
 
+    /// Sets how the targets of services warm up. Services without a rate are left out; of several
+    /// entries of a service, only the first is kept.
+    #[must_use]
+    pub fn with_warm_ups(mut self, mut warm_ups: Vec<WarmUp>) -> Self {
+        warm_ups.retain(|warm_up| warm_up.rate_per_1000_s > 0);
+        warm_ups.sort_by(|a, b| a.service.cmp(&b.service));
+        warm_ups.dedup_by(|later, first| later.service == first.service);
+        self.warm_ups = warm_ups;
+        self
+    }
+
     /// Sets the era of the store in which the configuration was read.
     #[must_use]
     pub fn with_era(mut self, era: StoreEra) -> Self {
@@ -140,6 +211,15 @@
         self.idle_timeout_ms
     }
 
+    /// How the targets of a service warm up; `None` if cold ones have no limit.
+    #[must_use]
+    pub fn warm_up(&self, service: &str) -> Option<&WarmUp> {
+        let found = self
+            .warm_ups
+            .binary_search_by(|warm_up| (*warm_up.service).cmp(service));
+        found.ok().map(|index| &self.warm_ups[index])
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -203,6 +283,7 @@
             era: self.version.era.0,
             idle_timeout_ms: self.idle_timeout_ms,
             routes: self.routes.iter().map(route).collect(),
+            services: self.warm_ups.iter().map(warm_up_message).collect(),
         }
     }
 
@@ -225,7 +306,12 @@
             })
         };
         let routes = message.routes.into_iter().filter_map(route).collect();
+        let warm_up = |service: wire::ServiceWarmUp| {
+            WarmUp::new(service.name, service.warmup_ms, service.rate_per_1000_s)
+        };
+        let warm_ups = message.services.into_iter().map(warm_up).collect();
         Self::new(message.version, routes)
+            .with_warm_ups(warm_ups)
             .with_era(StoreEra(message.era))
             .with_idle_timeout_ms(message.idle_timeout_ms)
     }
@@ -237,3 +323,11 @@
         weight: backend.weight,
     }
 }
+
+fn warm_up_message(warm_up: &WarmUp) -> wire::ServiceWarmUp {
+    wire::ServiceWarmUp {
+        name: warm_up.service.to_string(),
+        warmup_ms: warm_up.warmup_ms,
+        rate_per_1000_s: warm_up.rate_per_1000_s,
+    }
+}
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -13,10 +13,15 @@
     slot_requests::SlotRequests,
     syn_queue::SynQueue,
     target::{Heartbeat, HeartbeatOutcome, Target},
+    warmup::{self, ColdBounds, ColdTarget, SynWindow},
 };
 use crate::{
     control::store::StoreEra,
-    flow::{packet::PacketFormat, routes::RouteVersion, table::FlowTable},
+    flow::{
+        packet::PacketFormat,
+        routes::{RouteTable, RouteVersion},
+        table::FlowTable,
+    },
     forward::{
         absence::{FlowAbsence, TargetAnswer},
         decision::Decision,
@@ -78,6 +83,17 @@
     pub(super) members_known: bool,
     /// Version of the newest known route table.
     pub(super) route_version: RouteVersion,
+    /// The newest known route table, of which only the figures of the services are used.
+    routes: Arc<RouteTable>,
+    /// Bounds from the settings for the SYNs that a cold target is sent.
+    cold_bounds: ColdBounds,
+    /// Time at which the failure domain was last returned to service from an evacuation; `None` if
+    /// it was not since the start of this process.
+    domain_returned_at_ms: Option<u64>,
+    /// SYNs that the target was sent lately.
+    pub(super) syn_window: SynWindow,
+    /// Limits of the cold target at the last check; `None` if it was warm.
+    logged_cold: Option<ColdTarget>,
     /// Time without packets after which an open flow is removed; `REGISTRATION_TTL_MS` until the
     /// first route table.
     pub(super) idle_timeout_ms: u64,
@@ -123,6 +139,11 @@
             redirects: FlowTable::new(),
             members_known: false,
             route_version: RouteVersion::default(),
+            routes: Arc::new(RouteTable::default()),
+            cold_bounds: ColdBounds::default(),
+            domain_returned_at_ms: None,
+            syn_window: SynWindow::new(now_ms),
+            logged_cold: None,
             idle_timeout_ms: REGISTRATION_TTL_MS,
             reported_load: TargetLoad::default(),
             load_reported_at_ms: now_ms,
@@ -136,9 +157,23 @@
         }
     }
 
-    /// Applies the version and the idle timeout of a route table if it is newer than the current
-    /// one.
-    pub fn set_routes(&mut self, version: RouteVersion, idle_timeout_ms: u64) {
+    /// Sets the bounds for the SYNs that a cold target is sent.
+    #[must_use]
+    pub fn with_cold_bounds(mut self, cold_bounds: ColdBounds) -> Self {
+        self.cold_bounds = cold_bounds;
+        self
+    }
+
+    /// Sets when the failure domain was last returned to service from an evacuation, on the clock of
+    /// this process.
+    pub fn set_domain_returned(&mut self, returned_at_ms: Option<u64>) {
+        self.domain_returned_at_ms = returned_at_ms;
+    }
+
+    /// Applies the version, the idle timeout and the warm-up figures of a route table if it is newer
+    /// than the current one.
+    pub fn set_routes(&mut self, routes: &Arc<RouteTable>) {
+        let version = routes.version();
         if version > self.route_version {
             self.peering.decisions.push(Decision::RoutesChanged {
                 version,
@@ -146,7 +181,8 @@
                 len: 0,
             });
             self.route_version = version;
-            self.idle_timeout_ms = idle_timeout_ms;
+            self.idle_timeout_ms = routes.idle_timeout_ms();
+            self.routes = Arc::clone(routes);
         }
     }
 
@@ -188,6 +224,65 @@
         capacities.min().unwrap_or(1).max(1)
     }
 
+    /// Limits for the SYNs that the target is sent now; `None` if it is warm or its service has no
+    /// limit.
+    pub(super) fn cold_target(&self, now_ms: u64) -> Option<ColdTarget> {
+        let warm_up = self.routes.warm_up(self.target.service()?)?;
+        let heartbeat = self.target.last_heartbeat();
+        let heartbeat_left_ms = heartbeat.map(|_| self.target.cold_left_ms(now_ms));
+        let returned_at_ms = self.domain_returned_at_ms;
+        ColdTarget::new(
+            warm_up,
+            self.cold_bounds,
+            heartbeat_left_ms,
+            returned_at_ms,
+            now_ms,
+        )
+    }
+
+    /// Remaining time for which the target is slow, in milliseconds; 0 if it is not slow.
+    fn cold_left_ms(&self, now_ms: u64) -> u64 {
+        let service = self.target.service();
+        let warm_up = service.and_then(|service| self.routes.warm_up(service));
+        let returned_left_ms = warm_up.map_or(0, |warm_up| {
+            warmup::returned_left_ms(warm_up, self.domain_returned_at_ms, now_ms)
+        });
+        self.target.cold_left_ms(now_ms).max(returned_left_ms)
+    }
+
+    /// Number of SYNs that the target may be sent now, queued ones included; `None` if there is no
+    /// limit.
+    pub(super) fn cold_allowance(&self, now_ms: u64) -> Option<u32> {
+        let cold = self.cold_target(now_ms)?;
+        Some(self.syn_window.allowance(cold, now_ms))
+    }
+
+    /// Logs that the target has become cold or warm, or that its limits have changed.
+    fn record_warmth(&mut self, now_ms: u64) {
+        let cold = self.cold_target(now_ms);
+        let limits = |cold: ColdTarget| (cold.rate_per_1000_s, cold.limit, cold.left_ms.is_some());
+        if cold.map(limits) == self.logged_cold.map(limits) {
+            return;
+        }
+        self.logged_cold = cold;
+        let heartbeat = self.target.last_heartbeat();
+        let sequence = heartbeat.map_or(0, |heartbeat| heartbeat.sequence);
+        let route_version = self.route_version.number;
+        let decision = match cold {
+            Some(cold) => Decision::TargetCold {
+                cold,
+                is_returned_domain: self.cold_left_ms(now_ms) > self.target.cold_left_ms(now_ms),
+                sequence,
+                route_version,
+            },
+            None => Decision::TargetWarm {
+                sequence,
+                route_version,
+            },
+        };
+        self.peering.decisions.push(decision);
+    }
+
     /// Occupied slots of the target plus queued SYNs.
     pub(super) fn outstanding_requests(&self) -> u32 {
         self.flows.running() + u32::try_from(self.syn_queue.len()).unwrap_or(u32::MAX)
@@ -197,6 +292,7 @@
     #[must_use]
     pub fn load(&self, now_ms: u64) -> TargetLoad {
         let state = self.target.state(now_ms);
+        let queued = u32::try_from(self.syn_queue.len()).unwrap_or(u32::MAX);
         let known_flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
         let flows = if self.target.has_exited() {
             0
@@ -213,7 +309,10 @@
             running: self.outstanding_requests(),
             flows,
             service_time_us: self.flows.service_time_us(now_ms),
-            cold_left_ms: u32::try_from(self.target.cold_left_ms(now_ms)).unwrap_or(u32::MAX),
+            cold_left_ms: u32::try_from(self.cold_left_ms(now_ms)).unwrap_or(u32::MAX),
+            cold_allowance: self
+                .cold_allowance(now_ms)
+                .map(|allowance| allowance.saturating_sub(queued)),
         }
     }
 
@@ -324,6 +423,7 @@
         if outcome == HeartbeatOutcome::Restarted {
             self.probe_open_flows();
         }
+        self.record_warmth(now_ms);
         let state = self.target.state(now_ms);
         if matches!(
             outcome,
@@ -407,6 +507,7 @@
     /// Runs the periodic work: reports, slot requests, registrations and sweeps.
     pub fn tick(&mut self, now_ms: u64) {
         self.flows.set_capacity(self.capacity());
+        self.record_warmth(now_ms);
         let load = self.load(now_ms);
         let version = self.route_version;
         let presence = self.peering.presence(version, Some(load.clone()), now_ms);
@@ -427,7 +528,8 @@
         let is_due = since_report_ms >= self.peering.load_interval_ms();
         // A load report also serves as a liveness signal, so it is sent even when nothing has
         // changed.
-        let is_changed = load.running != self.reported_load.running;
+        let is_changed = load.running != self.reported_load.running
+            || load.cold_allowance != self.reported_load.cold_allowance;
         if is_due && (is_changed || since_report_ms >= u64::from(MAX_LOAD_INTERVAL_MS)) {
             self.peering.broadcast_load(&load);
             self.reported_load = load;
@@ -450,13 +552,19 @@
     }
 
     /// Whether packets should be read from the socket yet. A freshly started agent leaves them in
-    /// the socket buffer, because it discovers the other instances within some tens of
-    /// milliseconds.
+    /// the socket buffer, because it discovers the other instances and fetches the routes within some
+    /// tens of milliseconds.
     #[must_use]
     pub fn accepts_packets(&self, now_ms: u64) -> bool {
         let members = self.peering.directory.members().iter();
         let mut agents = members.filter(|m| m.instance.role == InstanceRole::Agent);
-        agents.any(|m| m.is_alive(now_ms) && !self.peering.directory.is_local(m))
+        // Without the routes it is not known how many SYNs a cold target may be sent.
+        let awaits_routes = self.route_version.number == 0
+            && self
+                .peering
+                .newer_routes(self.route_version, now_ms)
+                .is_some();
+        agents.any(|m| m.is_alive(now_ms) && !self.peering.directory.is_local(m)) && !awaits_routes
             || self.peering.uptime_ms(now_ms) >= DISCOVERY_MS
     }
 
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -37,6 +37,7 @@
 /// the store itself.
 const STORE_SILENCE_MS: u64 = 2_000;
 /// Delay before an agent fetches a newer route table. Balancers need it first and fetch it at once.
+/// An agent that has none fetches it at once too, since it needs the figures of cold targets.
 const FETCH_DELAY_MS: u64 = 1_000;
 
 /// An agent with its sockets and its event loop.
@@ -83,7 +84,8 @@
             local_target = local_target.with_expected_service(Arc::clone(service), now_ms);
         }
         Self {
-            core: AgentCore::new(format, local_instance, seeds, local_target, now_ms),
+            core: AgentCore::new(format, local_instance, seeds, local_target, now_ms)
+                .with_cold_bounds(settings.cold_bounds),
             decisions: DecisionLog::new(log.clone(), io.counters.clone()),
             io,
             outbound,
@@ -259,8 +261,7 @@
             }
             ClusterUpdate::Routes(routes) => {
                 if self.io.publish_routes(&routes, &self.log) {
-                    self.core
-                        .set_routes(routes.version(), routes.idle_timeout_ms());
+                    self.core.set_routes(&routes);
                 } else {
                     info!(self.log, "routes ignored"; "version" => routes.version().number,
                         "era" => routes.version().era.0,
@@ -289,7 +290,7 @@
             return;
         };
         let since_ms = *self.newer_since_ms.get_or_insert(now_ms);
-        if now_ms.saturating_sub(since_ms) >= FETCH_DELAY_MS {
+        if version.number == 0 || now_ms.saturating_sub(since_ms) >= FETCH_DELAY_MS {
             self.newer_since_ms = Some(now_ms);
             self.io.fetch_routes(address);
         }
--- a/src/forward/agent/mod.rs
+++ b/src/forward/agent/mod.rs
@@ -1,8 +1,8 @@
 //! The agent: forwards packets between balancers, other agents and its local target.
 //!
 //! [`core`] holds its state and handles packets, with [`syn`] for the opening of flows, [`lookup`] for
-//! flows that the target is not known to hold, and [`recovery`] for what is known of flows across
-//! restarts. They do no I/O. [`driver`] runs them on sockets.
+//! flows that the target is not known to hold, [`recovery`] for what is known of flows across
+//! restarts, and [`warmup`] for the limits of cold targets. They do no I/O. [`driver`] runs them on sockets.
 
 pub mod core;
 pub mod driver;
@@ -14,3 +14,4 @@
 pub mod syn;
 pub mod syn_queue;
 pub mod target;
+pub mod warmup;
--- a/src/forward/agent/syn.rs
+++ b/src/forward/agent/syn.rs
@@ -6,6 +6,7 @@
 use super::{
     core::{AgentCore, AgentVerdict},
     syn_queue::{HANDSHAKE_MS, QueuedSyn, ServiceRate},
+    warmup::{ColdTarget, ColdWindow},
 };
 use crate::{
     flow::packet::{FlowKey, HopMetadata, PacketFormat, Segment},
@@ -15,7 +16,7 @@
     },
     membership::{
         directory::Member,
-        instance::TargetState,
+        instance::{TargetLoad, TargetState},
         rendezvous::{flow_hash, tag},
     },
     placement::{self, Candidate, PlacementRequest},
@@ -67,6 +68,17 @@
         if self.syn_queue.contains(flow) {
             return AgentVerdict::Drop;
         }
+        // Queued SYNs come first, but not before a retransmission to the flow's target.
+        let ahead = if self.flows.contains(flow) {
+            0
+        } else {
+            self.syn_queue.len()
+        };
+        if let Some(cold) = self.cold_target(now_ms)
+            && self.syn_window.allowance(cold, now_ms) as usize <= ahead
+        {
+            return self.defer_syn(datagram, segment, hop, cold, now_ms);
+        }
         if hop.tried == 0
             && self.outstanding_requests() >= self.capacity()
             && self.is_cheaper_elsewhere(flow, now_ms)
@@ -76,7 +88,7 @@
         if !self.flows.contains(flow)
             && (!self.syn_queue.is_empty() || self.flows.running() >= self.capacity())
         {
-            return self.enqueue_syn(datagram, segment, hop, now_ms);
+            return self.enqueue_syn(datagram, segment, hop, None, now_ms);
         }
         self.admit(flow, hop, 0, now_ms);
         AgentVerdict::Target
@@ -86,15 +98,76 @@
     fn admit(&mut self, flow: FlowKey, hop: HopMetadata, waited_ms: u64, now_ms: u64) {
         self.flows.record_syn(flow, waited_ms, now_ms);
         self.target.record_syn(now_ms);
+        self.syn_window.record(self.cold_target(now_ms), now_ms);
         self.notify_entry_balancer(flow, hop);
     }
 
+    /// Handles a SYN that the cold target must not be sent now: it is redirected to a sibling that
+    /// would serve it sooner, queued until the target may be sent it, or refused if that is too late.
+    fn defer_syn(
+        &mut self,
+        datagram: &mut [u8],
+        segment: &Segment,
+        hop: HopMetadata,
+        cold: ColdTarget,
+        now_ms: u64,
+    ) -> AgentVerdict<F::Reset> {
+        let flow = segment.caller_flow();
+        let window = self.syn_window.state(cold, now_ms);
+        let position = u32::try_from(self.syn_queue.len() + 1).unwrap_or(u32::MAX);
+        let wait_ms = self.syn_window.wait_ms(cold, position, now_ms);
+        let reason = Reason::ColdTarget { window, wait_ms };
+        if self.flows.contains(flow) {
+            // An earlier copy has reached the target, so the flow must not be opened elsewhere.
+            self.peering
+                .decisions
+                .push(Decision::Dropped { flow, reason });
+            return AgentVerdict::Drop;
+        }
+        let age_ms = self.format.attempt_age_ms(segment);
+        let left_ms = F::OPEN_TIMEOUT_MS.saturating_sub(age_ms);
+        let is_late = wait_ms.saturating_add(HANDSHAKE_MS) >= left_ms;
+        if hop.tried + 1 < MAX_PLACEMENTS && self.is_sooner_elsewhere(flow, wait_ms, now_ms) {
+            return self.redirect(datagram, segment, hop, false, Some(window), now_ms);
+        }
+        if is_late {
+            return self.refuse(segment, hop, reason);
+        }
+        self.enqueue_syn(datagram, segment, hop, Some(window), now_ms)
+    }
+
+    /// Whether another target that may be sent the flow now is expected to respond sooner than the
+    /// cold local one after `wait_ms`.
+    fn is_sooner_elsewhere(&self, flow: FlowKey, wait_ms: u64, now_ms: u64) -> bool {
+        let Some(service) = self.service() else {
+            return false;
+        };
+        let other = self.choose_other_agent(&service, flow, now_ms);
+        let Some(other) = other.filter(|other| other.has_cold_allowance()) else {
+            return false;
+        };
+        let is_remote =
+            other.instance.failure_domain != self.peering.local_instance().failure_domain;
+        let other_candidate = Candidate::new(&other.load, other.placed_since_report, is_remote);
+        let load = TargetLoad {
+            running: self.flows.running(),
+            ..self.load(now_ms)
+        };
+        let local_candidate = Candidate::new(&load, 0, false);
+        let median_us = placement::median_service_time_us(&self.peering.directory, &service);
+        let local_us = placement::cost_us(&local_candidate, median_us);
+        placement::cost_us(&other_candidate, median_us)
+            < local_us.saturating_add(wait_ms.saturating_mul(1_000))
+    }
+
     /// Queues a SYN until a slot is free, or redirects or refuses it if none will be free in time.
+    /// `cold` is the state of the limit if the SYN is queued because the target is cold.
     fn enqueue_syn(
         &mut self,
         datagram: &mut [u8],
         segment: &Segment,
         hop: HopMetadata,
+        cold: Option<ColdWindow>,
         now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
         let age_ms = self.format.attempt_age_ms(segment);
@@ -123,6 +196,7 @@
             flow: segment.caller_flow(),
             running: self.flows.running(),
             waiting: self.syn_queue.len(),
+            cold,
         });
         self.notify_entry_balancer(segment.caller_flow(), hop);
         self.request_slots(now_ms);
@@ -143,7 +217,8 @@
         self.peering.decisions.extend(ended);
         while !self.syn_queue.is_empty() {
             let is_free = self.target.accepts_syn(now_ms)
-                && self.flows.running() < self.admission_limit(now_ms);
+                && self.flows.running() < self.admission_limit(now_ms)
+                && self.cold_allowance(now_ms) != Some(0);
             if !is_free && !self.has_free_slot_elsewhere(now_ms) {
                 return;
             }
@@ -165,7 +240,8 @@
                     AgentVerdict::Target
                 }
                 Some(segment) if may_redirect => {
-                    self.redirect_syn(&mut syn.datagram, &segment, hop, false, now_ms)
+                    let cold = self.exhausted_window(now_ms);
+                    self.redirect(&mut syn.datagram, &segment, hop, false, cold, now_ms)
                 }
                 Some(_) => {
                     self.syn_queue.put_back(syn);
@@ -196,6 +272,7 @@
             return;
         }
         let free = self.capacity().saturating_sub(self.outstanding_requests());
+        let free = free.min(self.cold_allowance(now_ms).unwrap_or(u32::MAX));
         while let Some(sibling) = self.slot_requests.grant(free, now_ms) {
             self.peering.outbox.push(sibling, Notice::SlotGrant);
         }
@@ -209,6 +286,7 @@
         let name = Arc::clone(&sibling.instance.name);
         let address = sibling.instance.packet_address;
         let rate = self.service_rate(now_ms);
+        let cold = self.exhausted_window(now_ms);
         let Some(mut syn) = self.syn_queue.pop(now_ms, rate) else {
             return;
         };
@@ -228,6 +306,7 @@
             agent: name,
             is_returned: false,
             running: self.outstanding_requests(),
+            cold,
         });
         let verdict = AgentVerdict::Instance(address);
         self.dispatched.push((syn.datagram, verdict));
@@ -249,6 +328,7 @@
                 && member.load.state == TargetState::Ready
                 && member.load_age_ms(now_ms) <= MAX_REPORT_AGE_MS
                 && member.expected_running() < member.load.capacity
+                && member.has_cold_allowance()
         })
     }
 
@@ -313,6 +393,27 @@
         hop: HopMetadata,
         is_returned: bool,
         now_ms: u64,
+    ) -> AgentVerdict<F::Reset> {
+        self.redirect(datagram, segment, hop, is_returned, None, now_ms)
+    }
+
+    /// State of the limit if the target is cold and must not be sent a SYN now; otherwise `None`.
+    fn exhausted_window(&self, now_ms: u64) -> Option<ColdWindow> {
+        let cold = self.cold_target(now_ms)?;
+        let is_exhausted = self.syn_window.allowance(cold, now_ms) == 0;
+        is_exhausted.then(|| self.syn_window.state(cold, now_ms))
+    }
+
+    /// Redirects a SYN as [`Self::redirect_syn`] does. `cold` is the state of the limit if the SYN is
+    /// redirected because the target is cold.
+    fn redirect(
+        &mut self,
+        datagram: &mut [u8],
+        segment: &Segment,
+        hop: HopMetadata,
+        is_returned: bool,
+        cold: Option<ColdWindow>,
+        now_ms: u64,
     ) -> AgentVerdict<F::Reset> {
         let flow = segment.caller_flow();
         let service = self.routed_service(hop);
@@ -338,6 +439,7 @@
             agent: name,
             is_returned,
             running: self.outstanding_requests(),
+            cold,
         });
         AgentVerdict::Instance(address)
     }
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,7 +4,10 @@
 
 use slog::{Logger, info, warn};
 
-use super::absence::AbsenceGround;
+use super::{
+    absence::AbsenceGround,
+    agent::warmup::{ColdTarget, ColdWindow},
+};
 use crate::{
     flow::{
         packet::{FlowKey, Lookup},
@@ -53,6 +56,14 @@
     },
     /// The caller abandoned the attempt while its SYN was queued.
     AttemptEnded,
+    /// The target is cold and would not be sent the SYN before the caller abandons the attempt, or
+    /// the SYN is a retransmission that exceeds the limit.
+    ColdTarget {
+        /// State of the limit.
+        window: ColdWindow,
+        /// Time until the target may be sent the SYN, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 impl Reason {
@@ -66,6 +77,7 @@
             Self::FlowLost(ground) => ground.name(),
             Self::AttemptEnded => "attempt_ended",
             Self::NoSlotInTime { .. } => "no_slot_in_time",
+            Self::ColdTarget { .. } => "cold_target",
         }
     }
 }
@@ -135,6 +147,8 @@
         is_returned: bool,
         /// Requests in progress at the local target, queued SYNs included.
         running: u32,
+        /// State of the limit of the cold local target, if that is why; otherwise `None`.
+        cold: Option<ColdWindow>,
     },
     /// A SYN was queued for a slot of the local target.
     Queued {
@@ -144,6 +158,8 @@
         running: u32,
         /// Number of queued SYNs, including this one.
         waiting: usize,
+        /// State of the limit of the cold local target, if that is why; otherwise `None`.
+        cold: Option<ColdWindow>,
     },
     /// A queued SYN was sent to the local target.
     Admitted {
@@ -271,6 +287,24 @@
         /// Sequence number of the heartbeat; 0 if the target announced its exit.
         sequence: u64,
     },
+    /// The local target became cold, or the limits of the cold target changed.
+    TargetCold {
+        /// The limits.
+        cold: ColdTarget,
+        /// Whether the failure domain of the target was returned to service lately.
+        is_returned_domain: bool,
+        /// Sequence number of the last heartbeat; 0 before the first one.
+        sequence: u64,
+        /// Version of the route table.
+        route_version: u64,
+    },
+    /// The local target is no longer cold, or its service no longer has a limit.
+    TargetWarm {
+        /// Sequence number of the last heartbeat; 0 before the first one.
+        sequence: u64,
+        /// Version of the route table.
+        route_version: u64,
+    },
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -311,6 +345,9 @@
     pub fn record(&mut self, decisions: &mut Vec<Decision>, now_ms: u64) {
         for decision in decisions.drain(..) {
             self.counters.count(event(&decision));
+            if is_cold_limited(&decision) {
+                self.counters.count(Event::FlowColdLimited);
+            }
             let limit = self.limit(&decision);
             if let Some(suppressed) = limit.permit(now_ms) {
                 write(&self.log, decision, suppressed);
@@ -330,9 +367,10 @@
             | Decision::FlowsReturned { .. }
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
-            Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
-                &mut self.local_limit
-            }
+            Decision::TargetChanged { .. }
+            | Decision::TargetCold { .. }
+            | Decision::TargetWarm { .. }
+            | Decision::RoutesChanged { .. } => &mut self.local_limit,
             _ => &mut self.flow_limit,
         }
     }
@@ -361,10 +399,31 @@
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
+        Decision::TargetCold { .. } | Decision::TargetWarm { .. } => Event::TargetWarmthChanged,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
     }
 }
 
+/// Whether a SYN was not sent to the target because the target is cold.
+fn is_cold_limited(decision: &Decision) -> bool {
+    match decision {
+        Decision::Redirected { cold, .. } | Decision::Queued { cold, .. } => cold.is_some(),
+        Decision::Refused { reason, .. } | Decision::Dropped { reason, .. } => {
+            matches!(reason, Reason::ColdTarget { .. })
+        }
+        _ => false,
+    }
+}
+
+/// Name of the reason why a SYN was redirected.
+fn redirect_reason(is_returned: bool, cold: Option<ColdWindow>) -> &'static str {
+    match cold {
+        _ if is_returned => "returned",
+        Some(_) => "cold_target",
+        None => "other",
+    }
+}
+
 fn write_gap(log: &Logger, flow: FlowKey, gap: &SearchGap, suppressed: u64) {
     let (awaited, silent_ms) = match gap {
         SearchGap::AgentLeftOut {
@@ -395,14 +454,20 @@
             agent,
             is_returned,
             running,
+            cold,
         } => info!(log, "flow redirected to another agent"; "flow" => %flow, "agent" => &*agent,
-            "is_returned" => is_returned, "running" => running, "left_out" => suppressed),
+            "is_returned" => is_returned, "running" => running,
+            "reason" => redirect_reason(is_returned, cold), "admitted" => cold.map(|c| c.admitted),
+            "limit" => cold.map(|c| c.limit), "left_out" => suppressed),
         Decision::Queued {
             flow,
             running,
             waiting,
+            cold,
         } => info!(log, "flow queued for a slot"; "flow" => %flow, "running" => running,
-            "waiting" => waiting, "left_out" => suppressed),
+            "waiting" => waiting, "reason" => cold.map_or("no_free_slot", |_| "cold_target"),
+            "admitted" => cold.map(|c| c.admitted), "limit" => cold.map(|c| c.limit),
+            "left_out" => suppressed),
         Decision::Admitted {
             flow,
             waited_ms,
@@ -460,12 +525,35 @@
             "change" => ?change, "left_out" => suppressed),
         Decision::MemberRemoved { name } => warn!(log, "instance removed"; "member" => &*name,
             "left_out" => suppressed),
+        Decision::TargetChanged { .. }
+        | Decision::TargetCold { .. }
+        | Decision::TargetWarm { .. }
+        | Decision::RoutesChanged { .. } => write_local(log, decision, suppressed),
+    }
+}
+
+/// Logs a change of the local target or of the routes.
+fn write_local(log: &Logger, decision: Decision, suppressed: u64) {
+    match decision {
         Decision::TargetChanged {
             target,
             state,
             sequence,
         } => info!(log, "target changed"; "target" => &*target, "state" => ?state,
             "sequence" => sequence, "left_out" => suppressed),
+        Decision::TargetCold {
+            cold,
+            is_returned_domain,
+            sequence,
+            route_version,
+        } => info!(log, "target cold"; "left_ms" => cold.left_ms, "limit" => cold.limit,
+            "rate_per_1000_s" => cold.rate_per_1000_s, "is_returned_domain" => is_returned_domain,
+            "sequence" => sequence, "route_version" => route_version, "left_out" => suppressed),
+        Decision::TargetWarm {
+            sequence,
+            route_version,
+        } => info!(log, "target warm"; "sequence" => sequence, "route_version" => route_version,
+            "left_out" => suppressed),
         Decision::RoutesChanged {
             version,
             previous,
@@ -473,5 +561,6 @@
         } => info!(log, "routes updated"; "version" => version.number, "era" => version.era.0,
             "previous" => previous.number, "previous_era" => previous.era.0,
             "routes" => len, "left_out" => suppressed),
+        _ => {}
     }
 }
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use super::agent::warmup::ColdBounds;
 use crate::membership::instance::{Instance, InstanceRole};
 
 /// Settings of a balancer or an agent; fixed while the process runs.
@@ -23,6 +24,8 @@
     pub caller_port: u16,
     /// Control addresses of other instances, used for discovery while the store is unavailable.
     pub seeds: Vec<SocketAddrV4>,
+    /// Bounds for the SYNs that cold targets are sent.
+    pub cold_bounds: ColdBounds,
     /// Target of an agent; `None` for a balancer.
     pub target: Option<TargetSettings>,
 }
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -222,6 +222,14 @@
         self.load.running.saturating_add(self.placed_since_report)
     }
 
+    /// Whether the agent would admit one more SYN: its target is not cold, or the flows placed since
+    /// the last report have not used up the allowance in it.
+    #[must_use]
+    pub fn has_cold_allowance(&self) -> bool {
+        let allowance = self.load.cold_allowance;
+        allowance.is_none_or(|allowance| self.placed_since_report < allowance)
+    }
+
     /// Time since the last load report, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -116,6 +116,8 @@
     /// Remaining time of the slow phase after the start of the target, in milliseconds; 0 once it
     /// is over.
     pub cold_left_ms: u32,
+    /// Number of SYNs that the agent of a cold target would admit now; `None` if there is no limit.
+    pub cold_allowance: Option<u32>,
 }
 
 impl TargetLoad {
@@ -139,6 +141,9 @@
             flows: self.flows,
             service_time_us: self.service_time_us,
             cold_left_ms: self.cold_left_ms,
+            cold_allowance: self
+                .cold_allowance
+                .map_or(0, |allowance| allowance.saturating_add(1)),
         }
     }
 
@@ -161,6 +166,7 @@
             flows: message.flows,
             service_time_us: message.service_time_us,
             cold_left_ms: message.cold_left_ms,
+            cold_allowance: message.cold_allowance.checked_sub(1),
         }
     }
 }
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -47,6 +47,11 @@
     FlowAdmitted => "flow_admitted",
     /// An agent redirected a SYN to another agent.
     FlowPassedOn => "flow_passed_on",
+    /// A SYN was redirected, queued, refused or dropped because the target is cold and has been sent
+    /// as many SYNs as it may get.
+    FlowColdLimited => "flow_cold_limited",
+    /// The local target of an agent became cold or warm.
+    TargetWarmthChanged => "target_warmth_changed",
     /// A packet of an unknown flow was sent to an agent that may know the owner of the flow.
     FlowLookedUp => "flow_looked_up",
     /// A search for a flow ended without a reply from every agent that may know it, so its caller
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -131,6 +131,10 @@
     if members.iter().any(is_reporting) {
         members.retain(is_reporting);
     }
+    // A cold target whose allowance is used up counts as full: its agent would redirect the flow.
+    if members.iter().any(|member| member.has_cold_allowance()) {
+        members.retain(|member| member.has_cold_allowance());
+    }
     sample(request.hash, members.len())
         .filter_map(|index| members.get(index))
         .min_by_key(|member| {
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -125,6 +125,9 @@
     /// over.
     #[prost(uint32, tag = "7")]
     pub cold_left_ms: u32,
+    /// Number of SYNs plus one that the agent of a cold target would admit now; 0 if there is no limit.
+    #[prost(uint32, tag = "10")]
+    pub cold_allowance: u32,
 }
 /// Request for a free slot of the receiver's target, sent while the sender has queued SYNs.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -188,6 +191,23 @@
     /// Era of the store in which the configuration was read; 0 if it is not known.
     #[prost(uint64, tag = "4")]
     pub era: u64,
+    /// Services whose cold targets have a limited rate, at most one entry per service.
+    #[prost(message, repeated, tag = "5")]
+    pub services: ::prost::alloc::vec::Vec<ServiceWarmUp>,
+}
+/// How a target of a service warms up.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceWarmUp {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// Time for which a target is cold after it starts or its failure domain returns to service, in
+    /// milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub warmup_ms: u64,
+    /// Requests that a cold target sustains, per thousand seconds; 0 for no limit.
+    #[prost(uint64, tag = "3")]
+    pub rate_per_1000_s: u64,
 }
 /// An address that callers open flows to and the services behind it.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/extreme_numbers.rs
+++ b/tests/extreme_numbers.rs
@@ -51,9 +51,16 @@
 
 /// Load of a target as another instance may send it.
 fn any_load() -> impl Strategy<Value = wire::Load> {
-    let numbers = (any_u32(), any_u32(), any_u32(), any_u32(), any_u32());
+    let numbers = (
+        any_u32(),
+        any_u32(),
+        any_u32(),
+        any_u32(),
+        any_u32(),
+        any_u32(),
+    );
     (-1..7_i32, numbers, any::<bool>()).prop_map(|(state, numbers, has_service)| {
-        let (capacity, running, flows, service_time_us, cold_left_ms) = numbers;
+        let (capacity, running, flows, service_time_us, cold_left_ms, cold_allowance) = numbers;
         wire::Load {
             state,
             service: if has_service { SERVICE } else { "" }.into(),
@@ -62,6 +69,7 @@
             flows,
             service_time_us,
             cold_left_ms,
+            cold_allowance,
         }
     })
 }
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -8,7 +8,10 @@
     flow::packet::{
         FlowKey, HopMetadata, Lookup, PacketFormat, VIEW_DIGEST_BITS, VIEW_GENERATIONS,
     },
-    forward::registrar::RouteDocument,
+    forward::{
+        agent::warmup::ColdBounds,
+        registrar::{DecodedRoutes, RouteDocument},
+    },
 };
 use proptest::prelude::*;
 
@@ -234,6 +237,59 @@
     insta::assert_snapshot!(results.join("\n"));
 }
 
+const SERVICES: &str = r#"[{"name":"one","warmup_s":4.5,"warmup_per_s":12.5,"zones":["a"]},
+    {"name":"two","warmup_s":3,"warmup_per_s":0},{"name":"three","warmup_per_s":7},
+    {"name":"four","warmup_s":3},{"name":"five"}]"#;
+
+fn decode_services(services: &str) -> DecodedRoutes {
+    let document = format!(r#"{{"version":7,"routes":[],"services":{services}}}"#);
+    routes::OperatorConfig.decode(document.as_bytes()).unwrap()
+}
+
+/// The figures of a service: warm-up time in milliseconds and requests per thousand seconds.
+fn warm_up(decoded: &DecodedRoutes, service: &str) -> Option<(u64, u64)> {
+    let warm_up = decoded.table.warm_up(service)?;
+    Some((warm_up.warmup_ms, warm_up.rate_per_1000_s))
+}
+
+// A rate of 0 and a missing one mean that cold targets have no limit.
+#[test]
+fn the_warm_up_figures_of_services_are_decoded() {
+    let decoded = decode_services(SERVICES);
+    let figures = ["one", "two", "three", "four", "five", "six"];
+    let figures = figures.map(|service| warm_up(&decoded, service));
+    assert_eq!(
+        figures,
+        [
+            Some((4_500, 12_500)),
+            None,
+            Some((0, 7_000)),
+            None,
+            None,
+            None
+        ]
+    );
+    assert_eq!(decoded.ignored, [""; 0]);
+}
+
+// A figure that cannot be read hides neither the routes nor the figures of other services.
+#[test]
+fn malformed_warm_up_figures_do_not_hide_the_others() {
+    let sound = r#"{"name":"sound","warmup_s":2,"warmup_per_s":5}"#;
+    for (what, malformed) in malformed_values() {
+        for entry in [
+            malformed.clone(),
+            format!(r#"{{"name":"odd","warmup_s":{malformed},"warmup_per_s":{malformed}}}"#),
+            format!(r#"{{"name":{malformed}}}"#),
+        ] {
+            let decoded = decode_services(&format!("[{entry},{sound}]"));
+            assert_eq!(warm_up(&decoded, "sound"), Some((2_000, 5_000)), "{what}");
+        }
+        let decoded = decode_services(&malformed);
+        assert_eq!(warm_up(&decoded, "sound"), None, "{what}");
+    }
+}
+
 // Without a version or a list of routes there is nothing to put into force.
 #[test]
 fn a_configuration_without_a_version_or_routes_is_rejected() {
@@ -352,6 +408,25 @@
     assert_eq!(parse(SETTINGS, false).unwrap().forward.target, None);
 }
 
+// Any of the bounds may be missing, and decimals may be written as integers.
+#[test]
+fn the_bounds_of_cold_targets_are_parsed() {
+    let bounds = |text: &str| {
+        let settings = parse(&format!("{SETTINGS}{text}"), true)?;
+        let ColdBounds {
+            over_permille,
+            slack_milli,
+        } = settings.forward.cold_bounds;
+        Ok::<_, String>((over_permille, slack_milli))
+    };
+    assert_eq!(bounds(""), Ok((1_000, 0)));
+    assert_eq!(bounds("[bounds]\nevacuate_ms = 5000"), Ok((1_000, 0)));
+    let both = "[bounds]\ncold_over = 1.25\ncold_slack = 3";
+    assert_eq!(bounds(both), Ok((1_250, 3_000)));
+    assert!(bounds("[bounds]\ncold_over = -1.0").is_err());
+    assert!(bounds("[bounds]\ncold_slack = nan").is_err());
+}
+
 #[test]
 fn each_settings_error_is_a_single_line() {
     let cases = [
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -12,12 +12,13 @@
     control::store::{StoreEra, StoreReply},
     flow::{
         packet::{FlowKey, HopMetadata, PacketFormat, Segment},
-        routes::{Backend, Class, Route, RouteTable},
+        routes::{Backend, Class, Route, RouteTable, WarmUp},
     },
     forward::{
         agent::{
             core::{AgentCore, AgentVerdict},
             target::{Heartbeat, Target},
+            warmup::ColdBounds,
         },
         balancer::core::{BalancerCore, Verdict},
         notices::Notice,
@@ -274,6 +275,8 @@
     unread: Vec<Unread>,
     /// Whether the heartbeats of the target say that it is draining.
     pub is_draining: bool,
+    /// Time until which the heartbeats of the target say that it is cold.
+    pub cold_until_ms: u64,
     /// Service that the heartbeats of the target name.
     pub service: &'static str,
     instance: Instance,
@@ -341,6 +344,12 @@
     held_notices: Vec<(SocketAddrV4, SocketAddrV4, Notice)>,
     /// Newest route table, which balancers know.
     pub routes: Arc<RouteTable>,
+    /// Warm-up figures in the route table of a started agent, which has none if this is empty.
+    pub warm_ups: Vec<WarmUp>,
+    /// Bounds in the settings of a started agent.
+    pub cold_bounds: ColdBounds,
+    /// Time of each SYN that a target was sent, and index of the target.
+    pub syn_arrivals: Vec<(u64, usize)>,
     /// Service that the settings of a started agent name.
     pub expected_service: &'static str,
     /// Number of slots of each target.
@@ -400,6 +409,9 @@
             delayed: HashSet::new(),
             held_notices: Vec::new(),
             routes: routes(1),
+            warm_ups: Vec::new(),
+            cold_bounds: ColdBounds::default(),
+            syn_arrivals: Vec::new(),
             expected_service: SERVICE,
             capacity,
             service_ms,
@@ -444,7 +456,12 @@
             Vec::new(),
             local_target,
             self.now_ms,
-        );
+        )
+        .with_cold_bounds(self.cold_bounds);
+        if !self.warm_ups.is_empty() {
+            let table = RouteTable::clone(&self.routes).with_warm_ups(self.warm_ups.clone());
+            core.set_routes(&Arc::new(table));
+        }
         core.set_members_known(StoreEra(self.era), self.now_ms);
         SimulatedAgent {
             core,
@@ -455,6 +472,7 @@
             is_frozen: false,
             unread: Vec::new(),
             is_draining: false,
+            cold_until_ms: 0,
             service: SERVICE,
             instance: own,
             heartbeat_sequence: 0,
@@ -495,13 +513,15 @@
         let host = u8::try_from(index).expect("few agents");
         let placeholder = SimulatedTarget::new(0, 0, 0);
         let target = std::mem::replace(&mut self.agents[index].target, placeholder);
-        let (heartbeat_sequence, target_incarnation) = (
+        let (heartbeat_sequence, target_incarnation, cold_until_ms) = (
             self.agents[index].heartbeat_sequence,
             self.agents[index].target_incarnation,
+            self.agents[index].cold_until_ms,
         );
         let agent = self.new_agent(host, self.now_ms, target);
         self.lost_entries.remove(&agent.instance.control_address);
         self.agents[index] = SimulatedAgent {
+            cold_until_ms,
             heartbeat_sequence,
             target_incarnation,
             ..agent
@@ -532,7 +552,7 @@
             service: agent.service.into(),
             is_draining: agent.is_draining,
             capacity: u32::try_from(agent.target.capacity).expect("few slots"),
-            cold_left_ms: 0,
+            cold_left_ms: agent.cold_until_ms.saturating_sub(now_ms),
         };
         if agent.is_frozen {
             agent.unread.push(Unread::Heartbeat(heartbeat));
@@ -887,6 +907,9 @@
         match verdict {
             AgentVerdict::Target => {
                 self.record_opened(index, &bytes);
+                if bytes[FLAGS_OFFSET] == SYN {
+                    self.syn_arrivals.push((self.now_ms, index));
+                }
                 for response in self.agents[index].target.receive(&bytes) {
                     self.send_from_target(index, response);
                 }
