--- a/benches/search.rs
+++ b/benches/search.rs
@@ -49,6 +49,7 @@
         next_within_ms: 200,
         receiver_was_draining: false,
         evacuations: EvacuationSet::default(),
+        limits_cold_targets: false,
     }
 }
 
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -99,6 +99,7 @@
                 previous: self.routes.version(),
                 len: routes.len(),
             });
+            self.peering.limits_cold_targets = routes.limits_cold_targets();
             self.routes = routes;
         }
     }
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -7,6 +7,7 @@
 use super::{
     absence::AbsenceGround,
     agent::suspicion::{Outcome, SuspicionChange},
+    agent::warmup::{ColdTarget, ColdWindow},
     evacuation::EvacuationSource,
 };
 use crate::{
@@ -62,6 +63,14 @@
     DomainEvacuated,
     /// The target of an evacuated failure domain already got a copy of the SYN.
     CopyAdmitted,
+    /// The target is cold and would not be sent the SYN before the caller abandons the attempt, or
+    /// the SYN is a retransmission that exceeds the limit.
+    ColdTarget {
+        /// State of the limit.
+        window: ColdWindow,
+        /// Time until the target may be sent the SYN, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 impl Reason {
@@ -77,6 +86,7 @@
             Self::NoSlotInTime { .. } => "no_slot_in_time",
             Self::DomainEvacuated => "domain_evacuated",
             Self::CopyAdmitted => "copy_admitted",
+            Self::ColdTarget { .. } => "cold_target",
         }
     }
 }
@@ -161,6 +171,8 @@
         is_suspect: bool,
         /// Requests in progress at the local target, queued SYNs included.
         running: u32,
+        /// State of the limit of the cold local target, if that is why; otherwise `None`.
+        cold: Option<ColdWindow>,
     },
     /// A SYN was queued for a slot of the local target.
     Queued {
@@ -170,6 +182,8 @@
         running: u32,
         /// Number of queued SYNs, including this one.
         waiting: usize,
+        /// State of the limit of the cold local target, if that is why; otherwise `None`.
+        cold: Option<ColdWindow>,
     },
     /// A queued SYN was sent to the local target.
     Admitted {
@@ -299,6 +313,24 @@
     },
     /// The local target has become suspect, has had a relapse or is trusted again.
     SuspicionChanged(SuspicionReport),
+    /// The local target became cold, or the limits of the cold target changed.
+    TargetCold {
+        /// The limits.
+        cold: ColdTarget,
+        /// Whether the failure domain of the target was returned to service lately.
+        is_returned_domain: bool,
+        /// Sequence number of the last heartbeat; 0 before the first one.
+        sequence: u64,
+        /// Version of the route table.
+        route_version: u64,
+    },
+    /// The local target is no longer cold, or its service no longer has a limit.
+    TargetWarm {
+        /// Sequence number of the last heartbeat; 0 before the first one.
+        sequence: u64,
+        /// Version of the route table.
+        route_version: u64,
+    },
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -363,6 +395,9 @@
             if is_due_to_evacuation(&decision) {
                 self.counters.count(Event::FlowEvacuated);
             }
+            if is_cold_limited(&decision) {
+                self.counters.count(Event::FlowColdLimited);
+            }
             let limit = self.limit(&decision);
             if let Some(suppressed) = limit.permit(now_ms) {
                 write(&self.log, decision, suppressed);
@@ -383,6 +418,8 @@
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
             Decision::TargetChanged { .. }
+            | Decision::TargetCold { .. }
+            | Decision::TargetWarm { .. }
             | Decision::SuspicionChanged(_)
             | Decision::RoutesChanged { .. }
             | Decision::EvacuationsChanged { .. }
@@ -422,6 +459,7 @@
             SuspicionChange::Suspected(_) => Event::TargetSuspected,
             SuspicionChange::Trusted { .. } => Event::TargetTrusted,
         },
+        Decision::TargetCold { .. } | Decision::TargetWarm { .. } => Event::TargetWarmthChanged,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
         Decision::EvacuationsChanged { .. } => Event::EvacuationsChanged,
         Decision::RemainingTargetsFull { .. } => Event::RemainingTargetsFull,
@@ -439,6 +477,17 @@
     }
 }
 
+/// Whether a SYN was not sent to the target because the target is cold.
+fn is_cold_limited(decision: &Decision) -> bool {
+    match decision {
+        Decision::Redirected { cold, .. } | Decision::Queued { cold, .. } => cold.is_some(),
+        Decision::Refused { reason, .. } | Decision::Dropped { reason, .. } => {
+            matches!(reason, Reason::ColdTarget { .. })
+        }
+        _ => false,
+    }
+}
+
 /// Names as one text, separated by commas.
 fn joined(names: &[Arc<str>]) -> String {
     names.join(",")
@@ -523,15 +572,21 @@
             is_evacuated,
             is_suspect,
             running,
+            cold,
         } => info!(log, "flow redirected to another agent"; "flow" => %flow, "agent" => &*agent,
             "is_returned" => is_returned, "is_evacuated" => is_evacuated,
-            "is_suspect" => is_suspect, "running" => running, "left_out" => suppressed),
+            "is_suspect" => is_suspect, "running" => running,
+            "is_cold" => cold.is_some(), "admitted" => cold.map(|c| c.admitted),
+            "limit" => cold.map(|c| c.limit), "left_out" => suppressed),
         Decision::Queued {
             flow,
             running,
             waiting,
+            cold,
         } => info!(log, "flow queued for a slot"; "flow" => %flow, "running" => running,
-            "waiting" => waiting, "left_out" => suppressed),
+            "waiting" => waiting, "reason" => cold.map_or("no_free_slot", |_| "cold_target"),
+            "admitted" => cold.map(|c| c.admitted), "limit" => cold.map(|c| c.limit),
+            "left_out" => suppressed),
         Decision::Admitted {
             flow,
             waited_ms,
@@ -589,6 +644,19 @@
             "change" => ?change, "left_out" => suppressed),
         Decision::MemberRemoved { name } => warn!(log, "instance removed"; "member" => &*name,
             "left_out" => suppressed),
+        Decision::TargetChanged { .. }
+        | Decision::TargetCold { .. }
+        | Decision::TargetWarm { .. }
+        | Decision::SuspicionChanged(_)
+        | Decision::EvacuationsChanged { .. }
+        | Decision::RemainingTargetsFull { .. }
+        | Decision::RoutesChanged { .. } => write_local(log, decision, suppressed),
+    }
+}
+
+/// Logs a change of the local target or of the routes.
+fn write_local(log: &Logger, decision: Decision, suppressed: u64) {
+    match decision {
         Decision::TargetChanged {
             target,
             state,
@@ -596,6 +664,19 @@
         } => info!(log, "target changed"; "target" => &*target, "state" => ?state,
             "sequence" => sequence, "left_out" => suppressed),
         Decision::SuspicionChanged(report) => write_suspicion(log, report, suppressed),
+        Decision::TargetCold {
+            cold,
+            is_returned_domain,
+            sequence,
+            route_version,
+        } => info!(log, "target cold"; "left_ms" => cold.left_ms, "limit" => cold.limit,
+            "rate_per_1000_s" => cold.rate_per_1000_s, "is_returned_domain" => is_returned_domain,
+            "sequence" => sequence, "route_version" => route_version, "left_out" => suppressed),
+        Decision::TargetWarm {
+            sequence,
+            route_version,
+        } => info!(log, "target warm"; "sequence" => sequence, "route_version" => route_version,
+            "left_out" => suppressed),
         Decision::RoutesChanged {
             version,
             previous,
@@ -616,5 +697,6 @@
         } => warn!(log, "no free slots outside the evacuated failure domains";
             "service" => &*service, "waiting" => waiting, "waiting_before" => previous,
             "domains" => joined(&evacuated), "left_out" => suppressed),
+        _ => {}
     }
 }
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -75,6 +75,7 @@
                 evacuated: evacuated_names(&presence.evacuations),
                 evacuation_revision: presence.evacuations.version.revision.0,
                 evacuation_era: presence.evacuations.version.era.0,
+                limits_cold_targets: presence.limits_cold_targets,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
             Self::FlowOwner {
@@ -120,6 +121,7 @@
                     next_within_ms: presence.next_within_ms,
                     receiver_was_draining: presence.receiver_was_draining,
                     evacuations: evacuation_set(&presence),
+                    limits_cold_targets: presence.limits_cold_targets,
                 }),
                 presence.wants_members,
             ),
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -130,6 +130,8 @@
     pub outbox: Outbox,
     /// Decisions that have not been logged yet.
     pub decisions: Vec<Decision>,
+    /// Whether a service in the route table limits the new flows of cold targets.
+    pub limits_cold_targets: bool,
     /// The failure domains that get no new flows.
     pub evacuations: Evacuations,
     local_instance: Instance,
@@ -164,6 +166,7 @@
             directory: Directory::new(Arc::clone(&local_instance.name)),
             outbox: Outbox::default(),
             decisions: Vec::new(),
+            limits_cold_targets: false,
             evacuations: Evacuations::new(),
             seeds,
             local_instance,
@@ -229,6 +232,7 @@
             next_within_ms: u32::try_from(self.presence_interval_ms()).unwrap_or(u32::MAX),
             receiver_was_draining: false,
             evacuations: self.evacuations.set().clone(),
+            limits_cold_targets: self.limits_cold_targets,
         }
     }
 
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -77,6 +77,8 @@
     pub was_draining: bool,
     /// Version of the instance's route table.
     pub route_version: RouteVersion,
+    /// Whether a service in the instance's route table limits the new flows of cold targets.
+    pub limits_cold_targets: bool,
     /// Whether the fabric sends callers' packets to the instance.
     pub is_in_rotation: bool,
     /// Time at which the instance last reported contact with the store; `None` if it never did.
@@ -109,6 +111,7 @@
             leaving_since_ms: None,
             was_draining: false,
             route_version: RouteVersion::default(),
+            limits_cold_targets: false,
             is_in_rotation: false,
             reached_store_at_ms: None,
             load: TargetLoad::default(),
@@ -229,6 +232,14 @@
         self.load.running.saturating_add(self.placed_since_report)
     }
 
+    /// Whether the agent would admit one more SYN: its target is not cold, or the flows placed since
+    /// the last report have not used up the allowance in it.
+    #[must_use]
+    pub fn has_cold_allowance(&self) -> bool {
+        let allowance = self.load.cold_allowance;
+        allowance.is_none_or(|allowance| self.placed_since_report < allowance)
+    }
+
     /// Time since the last load report, in milliseconds.
     #[must_use]
     pub fn load_age_ms(&self, now_ms: u64) -> u64 {
@@ -443,6 +454,7 @@
         member.is_confirmed = true;
         member.last_heard_at_ms = now_ms;
         member.route_version = presence.route_version;
+        member.limits_cold_targets = presence.limits_cold_targets;
         member.is_in_rotation = presence.is_in_rotation;
         let suspect_after_ms = u64::from(presence.next_within_ms) * SUSPECT_AFTER_PERCENT / 100;
         member.suspect_after_ms = suspect_after_ms.clamp(SUSPECT_AFTER_MS, REMOVE_AFTER_MS);
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -157,6 +157,8 @@
     pub is_suspect: bool,
     /// Responses of the target by class; empty in most reports.
     pub class_responses: Vec<ClassResponses>,
+    /// Number of SYNs that the agent of a cold target would admit now; `None` if there is no limit.
+    pub cold_allowance: Option<u32>,
 }
 
 impl TargetLoad {
@@ -186,6 +188,9 @@
                 .iter()
                 .map(|class| class.to_message())
                 .collect(),
+            cold_allowance: self
+                .cold_allowance
+                .map_or(0, |allowance| allowance.saturating_add(1)),
         }
     }
 
@@ -215,6 +220,7 @@
                 .take(MAX_CLASSES)
                 .filter_map(ClassResponses::from_message)
                 .collect(),
+            cold_allowance: message.cold_allowance.checked_sub(1),
         }
     }
 }
@@ -243,4 +249,6 @@
     pub receiver_was_draining: bool,
     /// Evacuated failure domains as known to the sender; unknown in messages of earlier builds.
     pub evacuations: EvacuationSet,
+    /// Whether a service in the sender's route table limits the new flows of cold targets.
+    pub limits_cold_targets: bool,
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -144,6 +144,10 @@
     if members.iter().any(is_reporting) {
         members.retain(is_reporting);
     }
+    // A cold target whose allowance is used up counts as full: its agent would redirect the flow.
+    if members.iter().any(|member| member.has_cold_allowance()) {
+        members.retain(|member| member.has_cold_allowance());
+    }
     retain_trusted(&mut members);
     let (local, remote): (Vec<&Member>, Vec<&Member>) = members
         .into_iter()
--- a/tests/extreme_numbers.rs
+++ b/tests/extreme_numbers.rs
@@ -51,7 +51,14 @@
 
 /// Load of a target as another instance may send it.
 fn any_load() -> impl Strategy<Value = wire::Load> {
-    let numbers = (any_u32(), any_u32(), any_u32(), any_u32(), any_u32());
+    let numbers = (
+        any_u32(),
+        any_u32(),
+        any_u32(),
+        any_u32(),
+        any_u32(),
+        any_u32(),
+    );
     let class = (any_u32(), any_u32(), any_u32(), any_u32());
     let class =
         class.prop_map(
@@ -66,7 +73,7 @@
     let load = (-1..7_i32, numbers, any::<bool>(), suspicion);
     load.prop_map(|(state, numbers, has_service, suspicion)| {
         let (is_suspect, class_responses) = suspicion;
-        let (capacity, running, flows, service_time_us, cold_left_ms) = numbers;
+        let (capacity, running, flows, service_time_us, cold_left_ms, cold_allowance) = numbers;
         wire::Load {
             state,
             service: if has_service { SERVICE } else { "" }.into(),
@@ -77,6 +84,7 @@
             cold_left_ms,
             is_suspect,
             class_responses,
+            cold_allowance,
         }
     })
 }
--- a/tests/failure_domains.rs
+++ b/tests/failure_domains.rs
@@ -7,6 +7,7 @@
     forward::peering::choose_load_receivers,
     membership::{
         directory::{Directory, Member},
+        evacuation_set::EvacuationSet,
         instance::{Instance, InstanceRole, Presence, TargetLoad, TargetState},
     },
     placement::{PlacementRequest, choose},
@@ -51,6 +52,8 @@
         is_in_rotation: true,
         next_within_ms: 200,
         receiver_was_draining: false,
+        evacuations: EvacuationSet::default(),
+        limits_cold_targets: false,
     };
     directory.handle_presence(presence, NOW_MS);
 }
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -44,6 +44,7 @@
         next_within_ms: 200,
         receiver_was_draining: false,
         evacuations: EvacuationSet::default(),
+        limits_cold_targets: false,
     }
 }
 
