Check at the start and exit of an agent whether its target's process runs

An agent now connects to its target's address with TCP, at its start until it hears from the target, and when it is stopped. A refused connection shows that no process listens: the agent that leaves says that it holds no flows, removes its entry from the store and resets the flows that it knows, and searches get past an agent that has just started. A connection that is accepted or times out proves the contrary for a target that has not been heard from, which is therefore no longer taken for absent after two heartbeat intervals. A refusal counts for nothing after a SYN, a packet or a heartbeat since the check started. Targets that do not listen with TCP are served as before: a refusal counts only after a connection was accepted, or if nothing at all shows that there is a target.

--- a/src/forward/absence.rs
+++ b/src/forward/absence.rs
@@ -6,7 +6,7 @@
 //! the one before it, and one difference makes the search incomplete. A caller whose search is
 //! incomplete is sent nothing; its retransmission starts a new search.
 
-use super::decision::SearchGap;
+use super::{agent::target_check::TargetChecks, decision::SearchGap};
 use crate::{
     flow::packet::{HopMetadata, Lookup, VIEW_GENERATIONS},
     membership::directory::SearchView,
@@ -19,7 +19,8 @@
     Denied,
     /// Nothing: it may hold the flow and be busy.
     Silent,
-    /// It was not asked because it has exited or was never heard from.
+    /// It cannot be asked: it has exited, no process listens at its address, or it was never heard
+    /// from.
     Unreachable,
 }
 
@@ -28,6 +29,8 @@
 pub enum AbsenceGround {
     /// The target at which the flow was opened has denied it.
     HolderDenied,
+    /// The process of the target at which the flow was opened has ended.
+    HolderEnded,
     /// The targets of all agents have denied it.
     AllTargetsDenied,
 }
@@ -38,6 +41,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::HolderDenied => "holder_denied",
+            Self::HolderEnded => "holder_ended",
             Self::AllTargetsDenied => "all_targets_denied",
         }
     }
@@ -58,6 +62,14 @@
         Self { ground }
     }
 
+    /// The absence of the flows that were opened at the local target; `None` unless its process is
+    /// known to have ended.
+    #[must_use]
+    pub fn from_ended_holder(checks: &TargetChecks) -> Option<Self> {
+        let ground = AbsenceGround::HolderEnded;
+        checks.is_gone().then_some(Self { ground })
+    }
+
     /// The absence of a flow whose packet was sent here because this agent has registered the flow;
     /// `None` if it was sent for another reason or the target has not denied it.
     #[must_use]
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -13,10 +13,15 @@
     slot_requests::SlotRequests,
     syn_queue::SynQueue,
     target::{Heartbeat, HeartbeatOutcome, Target},
+    target_check::{CheckOutcome, CheckResult, StartedCheck},
 };
 use crate::{
     control::store::StoreEra,
-    flow::{packet::PacketFormat, routes::RouteVersion, table::FlowTable},
+    flow::{
+        packet::{HopMetadata, PacketFormat},
+        routes::RouteVersion,
+        table::FlowTable,
+    },
     forward::{
         absence::{FlowAbsence, TargetAnswer},
         decision::Decision,
@@ -200,7 +205,7 @@
         let known_flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
         let flows = if self.target.has_exited() {
             0
-        } else if state == TargetState::Draining {
+        } else if state == TargetState::Draining || self.target.may_hold_earlier_flows() {
             // It may hold idle flows that this process has not seen since its start.
             known_flows.max(1)
         } else {
@@ -266,7 +271,7 @@
         let Some(segment) = self.format.decode(datagram) else {
             return AgentVerdict::Drop;
         };
-        self.target.record_activity();
+        self.target.record_activity(now_ms);
         if !segment.flags.returned {
             self.target.record_packet(now_ms);
             let flow = segment.target_flow();
@@ -352,6 +357,50 @@
         }
     }
 
+    /// Announces that this agent is about to exit.
+    pub fn stop(&mut self, now_ms: u64) {
+        self.target.checks.leave(now_ms);
+        let load = Some(self.load(now_ms));
+        self.peering.leave(self.route_version, load, now_ms);
+    }
+
+    /// Applies the result of a check whether the target's process is running.
+    pub fn handle_target_check(&mut self, check: StartedCheck, result: CheckResult, now_ms: u64) {
+        let before = self.load(now_ms);
+        self.target.checks.record_result(check, result);
+        let outcome = CheckOutcome {
+            used_for: check.used_for,
+            result,
+            took_ms: now_ms.saturating_sub(check.started_at_ms),
+            is_proof: self.target.checks.is_proof(now_ms),
+        };
+        self.peering
+            .decisions
+            .push(Decision::TargetChecked(outcome));
+        let after = self.load(now_ms);
+        if before.state != after.state || (before.flows == 0) != (after.flows == 0) {
+            self.broadcast_state(now_ms);
+        }
+        self.reset_flows_of_ended_target(now_ms);
+    }
+
+    /// Resets the open flows of a target that has ended, so that their callers learn of it before they
+    /// send the next request.
+    fn reset_flows_of_ended_target(&mut self, now_ms: u64) {
+        let open: Vec<_> = self.flows.open_flows().collect();
+        for flow in open {
+            let Some(absence) = FlowAbsence::from_ended_holder(&self.target.checks) else {
+                return;
+            };
+            let Some(sequence) = self.flows.open_caller_ack(flow) else {
+                continue;
+            };
+            self.flows.remove(flow, now_ms);
+            let verdict = self.reset_flow(flow, sequence, HopMetadata::default(), absence);
+            self.dispatched.push((Vec::new(), verdict));
+        }
+    }
+
     /// Asks a new incarnation of the target which of the open flows it holds. It may have opened
     /// some of them before its first heartbeat; it returns the packets of the others, which were
     /// lost with the previous incarnation.
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -1,13 +1,18 @@
 //! Event loop of an agent. A single task forwards all packets.
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use slog::{Logger, info};
-use tokio::time::{self, MissedTickBehavior};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{self, MissedTickBehavior},
+};
 
 use super::{
     core::{AgentCore, AgentVerdict},
     target::Target,
+    target_check::{CHECK_TIMEOUT_MS, CheckResult, StartedCheck},
 };
 use crate::{
     clock::Clock,
@@ -38,6 +43,19 @@
 const STORE_SILENCE_MS: u64 = 2_000;
 /// Delay before an agent fetches a newer route table. Balancers need it first and fetch it at once.
 const FETCH_DELAY_MS: u64 = 1_000;
+/// Capacity of the channel for the results of target checks, of which at most two are in progress.
+const CHECK_QUEUE_LEN: usize = 4;
+
+/// Connects to the target's address with TCP and closes the connection at once.
+pub async fn check_target(address: SocketAddrV4) -> CheckResult {
+    let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
+    match time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => CheckResult::Accepted,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => CheckResult::Refused,
+        Ok(Err(_)) => CheckResult::Failed,
+        Err(_) => CheckResult::TimedOut,
+    }
+}
 
 /// An agent with its sockets and its event loop.
 #[derive(Debug)]
@@ -58,6 +76,9 @@
     /// Time since which another instance has had a newer route table, or of the last fetch; `None`
     /// if the local one is the newest.
     newer_since_ms: Option<u64>,
+    /// Results of target checks.
+    checks: mpsc::Receiver<(StartedCheck, CheckResult)>,
+    check_tx: mpsc::Sender<(StartedCheck, CheckResult)>,
     log: Logger,
 }
 
@@ -78,6 +99,7 @@
         let clock = Clock::new();
         let now_ms = clock.now_ms();
         let seeds = settings.seeds.clone();
+        let (check_tx, checks) = mpsc::channel(CHECK_QUEUE_LEN);
         let mut local_target = Target::new(target.heartbeat_interval_ms);
         if let Some(service) = &target.service {
             local_target = local_target.with_expected_service(Arc::clone(service), now_ms);
@@ -93,6 +115,8 @@
             caller_port: settings.caller_port,
             store_heard_at_ms: now_ms,
             newer_since_ms: None,
+            checks,
+            check_tx,
             log,
         }
     }
@@ -116,8 +140,13 @@
                         leaves_at_ms = self.clock.now_ms() + LEAVE_GRACE_MS;
                     }
                 }
+                Some((check, result)) = self.checks.recv() => {
+                    let now_ms = self.clock.now_ms();
+                    self.core.handle_target_check(check, result, now_ms);
+                }
                 _ = ticks.tick() => self.tick(leaves_at_ms == u64::MAX),
             }
+            self.start_target_check();
             self.dispatch_queued();
             self.record_responses();
             self.io.send_notices(&mut self.core.peering.outbox);
@@ -148,15 +177,27 @@
             Command::TargetExiting(id) => self.core.handle_target_exit(&id, now_ms),
             Command::Stop => {
                 info!(self.log, "stopping"; "flows" => self.core.flows());
-                let load = Some(self.core.load(now_ms));
-                let version = self.core.route_version();
-                self.core.peering.leave(version, load, now_ms);
+                self.core.stop(now_ms);
                 return true;
             }
         }
         false
     }
 
+    /// Starts a check whether the target's process is running, if one is due. Packets are forwarded
+    /// meanwhile.
+    fn start_target_check(&mut self) {
+        let Some(check) = self.core.target.next_check(self.clock.now_ms()) else {
+            return;
+        };
+        let (address, check_tx) = (self.target_address, self.check_tx.clone());
+        tokio::spawn(async move {
+            let result = check_target(address).await;
+            // The receiver is closed only while the process exits.
+            let _ = check_tx.send((check, result)).await;
+        });
+    }
+
     fn read_inbound(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
         let now_ms = self.clock.now_ms();
         for _ in 0..MAX_BATCH {
--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -62,6 +62,7 @@
                 at_ms: now_ms,
             });
         }
+        self.target.checks.record_sent(now_ms);
         AgentVerdict::Target
     }
 
@@ -129,16 +130,24 @@
     }
 
     /// Continues the search for packets that a target in an unknown state has not returned in time.
-    /// The target may hold their flows and be busy, so these searches end without a reset.
+    /// Unless no process listens at its address, the target may hold their flows and be busy, so these
+    /// searches end without a reset.
     pub(super) fn resume_unreturned(&mut self, now_ms: u64) {
+        let unanswered_timeout_ms = self.target.checks.unanswered_timeout_ms(now_ms);
+        let timeout_ms = unanswered_timeout_ms.unwrap_or(PROBE_TIMEOUT_MS);
         let is_overdue =
-            |packet: &mut ProbePacket| now_ms.saturating_sub(packet.at_ms) >= PROBE_TIMEOUT_MS;
+            |packet: &mut ProbePacket| now_ms.saturating_sub(packet.at_ms) >= timeout_ms;
         let unreturned: Vec<_> = self.probes.extract_if(.., is_overdue).collect();
         if self.target.state(now_ms) != TargetState::Unknown && !self.target.is_unreachable(now_ms)
         {
             return;
         }
-        self.resume_search(unreturned, TargetAnswer::Silent, now_ms);
+        let answer = if self.target.checks.shows_no_process(now_ms) {
+            TargetAnswer::Unreachable
+        } else {
+            TargetAnswer::Silent
+        };
+        self.resume_search(unreturned, answer, now_ms);
     }
 
     /// Continues the search for the packets of a flow that the target has reset without being known
--- a/src/forward/agent/mod.rs
+++ b/src/forward/agent/mod.rs
@@ -14,3 +14,4 @@
 pub mod syn;
 pub mod syn_queue;
 pub mod target;
+pub mod target_check;
--- a/src/forward/agent/target.rs
+++ b/src/forward/agent/target.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::target_check::{StartedCheck, TargetChecks};
 use crate::membership::instance::TargetState;
 
 /// Number of heartbeat intervals without a heartbeat after which a target counts as unresponsive. A
@@ -88,6 +89,8 @@
     last_packet_at_ms: Option<u64>,
     /// Whether the target was draining before the agent started, according to other instances.
     was_draining: bool,
+    /// Checks whether a process listens at the target's address.
+    pub checks: TargetChecks,
 }
 
 impl Target {
@@ -113,6 +116,7 @@
             started_at_ms: 0,
             last_packet_at_ms: None,
             was_draining: false,
+            checks: TargetChecks::default(),
         }
     }
 
@@ -146,25 +150,49 @@
             && uptime_ms < STARTUP_INTERVALS * self.heartbeat_interval_ms
     }
 
-    /// Whether packets cannot be sent to the target: it has announced its exit, or none has been
-    /// heard from since the agent started.
+    /// Whether packets cannot be sent to the target: it has exited, no process listens at its
+    /// address, or none has been heard from since the agent started.
     #[must_use]
     pub fn is_unreachable(&self, now_ms: u64) -> bool {
-        self.is_exiting || self.last_heartbeat.is_none() && self.is_absent(now_ms)
+        self.has_exited()
+            || self.checks.shows_no_process(now_ms)
+            || self.last_heartbeat.is_none() && self.is_absent(now_ms)
     }
 
-    /// Whether the target has announced its exit, so that it holds no flows any more.
+    /// Whether the target has announced its exit or was found to have ended when the agent was
+    /// stopped, so that it holds no flows any more.
     #[must_use]
     pub fn has_exited(&self) -> bool {
-        self.is_exiting
+        self.is_exiting || self.checks.is_gone()
     }
 
-    /// Whether no target seems to be running. A running one would have sent a heartbeat by now.
-    /// Packets that it does not return prove nothing: it may hold their flows and be busy.
+    /// Whether the target has sent a heartbeat or a packet of a flow since the agent started.
+    fn is_known(&self) -> bool {
+        self.last_heartbeat.is_some() || self.last_packet_at_ms.is_some()
+    }
+
+    /// Whether a target that has not been heard from may hold flows from before the start of the
+    /// agent, because its process is running.
+    #[must_use]
+    pub fn may_hold_earlier_flows(&self) -> bool {
+        !self.is_known() && self.checks.may_hold_flows()
+    }
+
+    /// Starts a check whether the target's process is running, if one is due.
+    pub fn next_check(&mut self, now_ms: u64) -> Option<StartedCheck> {
+        if self.is_exiting {
+            return None;
+        }
+        self.checks.next(self.is_known(), now_ms)
+    }
+
+    /// Whether no target seems to be running. A running one would have sent a heartbeat by now, or
+    /// its process is known to be suspended. Packets that it does not return prove nothing: it may
+    /// hold their flows and be busy.
     fn is_absent(&self, now_ms: u64) -> bool {
         let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
         let is_overdue = uptime_ms > STARTUP_INTERVALS * self.heartbeat_interval_ms;
-        self.last_packet_at_ms.is_none() && is_overdue
+        self.last_packet_at_ms.is_none() && is_overdue && !self.may_hold_earlier_flows()
     }
 
     /// The last heartbeat that was not stale; `None` before the first one.
@@ -225,13 +253,14 @@
                     self.previous_incarnations.remove(0);
                 }
                 self.previous_incarnations.push(incarnation);
+                self.checks.record_restart();
                 HeartbeatOutcome::Restarted
             }
         };
         self.last_heartbeat = Some(heartbeat);
         self.heartbeat_at_ms = now_ms;
         self.is_exiting = false;
-        self.record_activity();
+        self.record_activity(now_ms);
         outcome
     }
 
@@ -256,6 +285,7 @@
         self.unanswered_since_ms.get_or_insert(now_ms);
         self.unanswered_syns += 1;
         self.syn_at_ms = now_ms;
+        self.checks.record_syn(now_ms);
     }
 
     /// Records that the target has sent a packet of a flow that it holds.
@@ -264,9 +294,10 @@
     }
 
     /// Records that the target has sent a heartbeat or any packet, including a returned one.
-    pub fn record_activity(&mut self) {
+    pub fn record_activity(&mut self, now_ms: u64) {
         self.unanswered_since_ms = None;
         self.unanswered_syns = 0;
+        self.checks.record_heard(now_ms);
     }
 
     /// Whether the target has left SYNs unanswered for too long.
@@ -280,6 +311,9 @@
     /// Current state of the target towards new flows.
     #[must_use]
     pub fn state(&self, now_ms: u64) -> TargetState {
+        if self.checks.is_gone() {
+            return TargetState::Absent;
+        }
         let Some(heartbeat) = &self.last_heartbeat else {
             return if self.is_presumed_ready(now_ms) && !self.is_unresponsive(now_ms) {
                 TargetState::Ready
@@ -305,6 +339,9 @@
     /// `RETRY_INTERVAL_MS`.
     #[must_use]
     pub fn accepts_syn(&self, now_ms: u64) -> bool {
+        if !self.checks.permits_syns() {
+            return false;
+        }
         match self.state(now_ms) {
             TargetState::Ready => true,
             TargetState::Unresponsive => {
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,7 +4,7 @@
 
 use slog::{Logger, info, warn};
 
-use super::absence::AbsenceGround;
+use super::{absence::AbsenceGround, agent::target_check::CheckOutcome};
 use crate::{
     flow::{
         packet::{FlowKey, Lookup},
@@ -271,6 +271,8 @@
         /// Sequence number of the heartbeat; 0 if the target announced its exit.
         sequence: u64,
     },
+    /// A check whether the local target's process is running has ended.
+    TargetChecked(CheckOutcome),
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -330,9 +332,9 @@
             | Decision::FlowsReturned { .. }
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
-            Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
-                &mut self.local_limit
-            }
+            Decision::TargetChanged { .. }
+            | Decision::TargetChecked(_)
+            | Decision::RoutesChanged { .. } => &mut self.local_limit,
             _ => &mut self.flow_limit,
         }
     }
@@ -361,6 +363,7 @@
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
+        Decision::TargetChecked(_) => Event::TargetChecked,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
     }
 }
@@ -376,6 +379,12 @@
         "awaited" => awaited, "silent_ms" => silent_ms, "left_out" => suppressed);
 }
 
+fn write_check(log: &Logger, outcome: CheckOutcome, suppressed: u64) {
+    info!(log, "target connection checked"; "use" => outcome.used_for.name(),
+        "result" => outcome.result.name(), "took_ms" => outcome.took_ms,
+        "is_proof" => outcome.is_proof, "left_out" => suppressed);
+}
+
 /// Logs a decision. `suppressed` is the number of lines left out by the rate limit since the last
 /// one.
 fn write(log: &Logger, decision: Decision, suppressed: u64) {
@@ -466,6 +475,7 @@
             sequence,
         } => info!(log, "target changed"; "target" => &*target, "state" => ?state,
             "sequence" => sequence, "left_out" => suppressed),
+        Decision::TargetChecked(outcome) => write_check(log, outcome, suppressed),
         Decision::RoutesChanged {
             version,
             previous,
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -67,6 +67,8 @@
     MemberChanged => "member_changed",
     /// The state of the local target has changed.
     TargetChanged => "target_changed",
+    /// It was checked whether the local target accepts connections.
+    TargetChecked => "target_checked",
     /// The routes were updated.
     RoutesChanged => "routes_changed",
     /// A notice that cannot be decoded was dropped.
--- /dev/null
+++ b/tests/lost_flows.rs
@@ -0,0 +1,357 @@
+//! Callers of flows whose targets are gone are told so, and no flow of a target that lives is reset for
+//! it: what agents conclude from the connections that their own targets refuse.
+
+mod simulation;
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use bamboowind::{
+    flow::packet::HopMetadata,
+    forward::agent::{
+        driver::check_target,
+        target_check::{CheckResult, TargetChecks},
+    },
+    membership::{instance::TargetState, rendezvous::tag},
+};
+use proptest::prelude::*;
+use simulation::{
+    SERVICE, Simulation, flow,
+    schedule::{Event, check_schedule, events, fixed_cases},
+    syn,
+};
+use tokio::net::{TcpSocket, TcpStream};
+
+const AGENTS: u8 = 6;
+
+/// Hop metadata of a SYN that a balancer has placed.
+fn placed() -> HopMetadata {
+    HopMetadata {
+        service_tag: tag(SERVICE),
+        entry_tag: tag("balancer-0"),
+        ..HopMetadata::default()
+    }
+}
+
+/// Sends a request and its retransmissions after 200 and 600 ms through balancer 1.
+fn send_with_retransmissions(sim: &mut Simulation, number: u16) {
+    for wait_ms in [200, 400, 10] {
+        if sim.was_reset(number) {
+            return;
+        }
+        sim.send_from_caller(1, sim.request(number));
+        sim.advance(wait_ms);
+    }
+}
+
+// After a loss of power, a machine without a target is removed. Searches must not wait for its agent
+// while callers wait for their deadline.
+#[test]
+fn an_agent_that_left_beside_no_target_is_not_awaited() {
+    for is_heard in [false, true] {
+        for up_ms in [200, 1_300] {
+            let mut sim = Simulation::new(2, AGENTS, 5, 20);
+            let (number, order) = sim.open_flow_with_owner_at(2);
+            let gone = order[5];
+            sim.advance(500 - sim.now_ms % 500 - 10);
+            sim.lose_power(gone);
+            if is_heard {
+                // The target of the machine ran for a moment.
+                sim.restart_target(gone);
+                sim.advance(30);
+                sim.end_target(gone);
+            }
+            sim.advance(up_ms);
+            sim.stop_agent(gone);
+            sim.advance(1_100);
+            assert!(!sim.agents[gone].is_up);
+            sim.send_from_caller(1, sim.request(number));
+            assert!(sim.was_reset(number), "heard {is_heard}, up for {up_ms} ms");
+        }
+    }
+}
+
+// An agent that has started beside no target must not keep searches incomplete until heartbeats are
+// overdue.
+#[test]
+fn a_search_gets_past_a_started_agent_without_a_target() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    sim.advance(500 - sim.now_ms % 500 - 10);
+    sim.lose_power(order[4]);
+    sim.advance(100);
+    send_with_retransmissions(&mut sim, number);
+    assert!(sim.was_reset(number), "no target holds the flow");
+}
+
+// A target that is suspended while its agent restarts lives and holds its flows.
+#[test]
+fn a_flow_of_a_suspended_target_survives_the_restart_of_its_agent() {
+    for result in [CheckResult::Accepted, CheckResult::TimedOut] {
+        for wait_ms in [100, 1_200, 4_000] {
+            let mut sim = Simulation::new(2, AGENTS, 5, 20);
+            let (number, order) = sim.open_flow_with_owner_at(2);
+            let owner = order[2];
+            sim.agents[owner].target.is_silent = true;
+            sim.agents[owner].check_result = Some(result);
+            (0..usize::from(AGENTS)).for_each(|index| sim.restart_agent(index));
+            sim.restart_balancer(1);
+            sim.advance(wait_ms);
+            send_with_retransmissions(&mut sim, number);
+            assert!(!sim.was_reset(number), "{result:?}, {wait_ms} ms");
+            // The agent is restarted once more, and its entry is the only trace of the flow.
+            sim.leave_agent(owner);
+            sim.advance(4_000);
+            send_with_retransmissions(&mut sim, number);
+            assert!(!sim.was_reset(number), "{result:?}, {wait_ms} ms, left");
+        }
+    }
+}
+
+// An agent that leaves while its target runs is awaited, however the target answers.
+#[test]
+fn an_accepted_or_late_connection_proves_nothing_at_the_exit() {
+    for result in [
+        CheckResult::Accepted,
+        CheckResult::TimedOut,
+        CheckResult::Failed,
+    ] {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        let (number, order) = sim.open_flow_with_owner_at(2);
+        let owner = order[2];
+        sim.agents[owner].check_result = Some(result);
+        sim.stop_agent(owner);
+        sim.advance(1_100);
+        sim.restart_agent(order[0]);
+        sim.restart_agent(order[1]);
+        sim.restart_balancer(1);
+        sim.advance(600);
+        send_with_retransmissions(&mut sim, number);
+        assert!(!sim.was_reset(number), "{result:?}");
+    }
+}
+
+// The target starts right after a check was refused, and opens a flow through the agent.
+#[test]
+fn a_refused_check_does_not_hide_the_flow_of_a_target_that_starts_after_it() {
+    for delay_ms in [0, 150] {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        sim.end_target(0);
+        sim.restart_agent(0);
+        sim.agents[0].check_delay_ms = delay_ms;
+        // The last refusal is still valid when the target sends its first heartbeat.
+        sim.advance(1_500 - sim.now_ms % 500 - 10);
+        sim.restart_target(0);
+        sim.advance(20);
+        let number = (0..200).find(|number| sim.flow_order(*number)[3] == 0);
+        let number = number.expect("the agent is fourth in the order of some flow");
+        sim.send_to_agent(0, syn(number, 0), placed());
+        assert!(sim.agents[0].target.flows.contains(&flow(number)));
+        sim.send_to_agent(0, sim.handshake_ack(number), HopMetadata::default());
+        let load = sim.agents[0].core.load(sim.now_ms);
+        assert_eq!((load.state, load.flows), (TargetState::Ready, 1));
+        // The registrations are lost, and the flow is searched for.
+        let order = sim.flow_order(number);
+        sim.restart_agent(order[0]);
+        sim.restart_agent(order[1]);
+        sim.restart_balancer(1);
+        sim.advance(20);
+        send_with_retransmissions(&mut sim, number);
+        assert!(!sim.was_reset(number), "{delay_ms} ms");
+    }
+}
+
+// A SYN that is sent while the check at the exit is in progress may open a flow at a target that starts
+// after it.
+#[test]
+fn a_flow_that_is_opened_during_the_check_at_the_exit_is_awaited() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let agent = 0;
+    sim.advance(500 - sim.now_ms % 500 + 20);
+    sim.agents[agent].check_delay_ms = 50;
+    sim.agents[agent].check_result = Some(CheckResult::Refused);
+    sim.stop_agent(agent);
+    sim.agents[agent].check_result = None;
+    // By now another target runs at the address, of which the agent has not heard yet.
+    sim.restart_target(agent);
+    sim.send_to_agent(agent, syn(1, 0), placed());
+    assert!(sim.agents[agent].target.flows.contains(&flow(1)));
+    sim.send_to_agent(agent, sim.handshake_ack(1), HopMetadata::default());
+    sim.advance(1_100);
+    assert!(!sim.agents[agent].is_up);
+    assert!(sim.agents[agent].core.stays_registered(sim.now_ms));
+    assert!(!sim.was_reset(1), "the target holds the flow");
+    sim.restart_balancer(1);
+    sim.advance(10);
+    send_with_retransmissions(&mut sim, 1);
+    assert!(!sim.was_reset(1), "the target holds the flow");
+}
+
+// Once a leaving agent has announced that its target has ended, a target that starts gets no flow
+// through it, which nobody would await.
+#[test]
+fn a_leaving_agent_opens_no_flow_after_it_has_announced_that_its_target_has_ended() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let agent = 0;
+    sim.end_target(agent);
+    sim.stop_agent(agent);
+    let load = sim.agents[agent].core.load(sim.now_ms);
+    assert_eq!((load.state, load.flows), (TargetState::Absent, 0));
+    sim.restart_target(agent);
+    // A heartbeat of the new target arrives.
+    sim.advance(600);
+    sim.send_to_agent(agent, syn(1, 0), placed());
+    assert!(!sim.agents[agent].target.flows.contains(&flow(1)));
+    let mut others = sim.agents.iter().skip(1);
+    assert!(others.any(|other| other.target.flows.contains(&flow(1))));
+}
+
+// The target ends after the agent was stopped.
+#[test]
+fn the_second_check_finds_a_target_that_ends_after_the_first() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    sim.stop_agent(0);
+    assert!(sim.agents[0].core.stays_registered(sim.now_ms));
+    sim.advance(300);
+    sim.end_target(0);
+    sim.advance(800);
+    assert!(!sim.agents[0].is_up);
+    assert!(!sim.agents[0].core.stays_registered(sim.now_ms));
+}
+
+// A target that does not listen with TCP refuses every connection, and holds flows nevertheless.
+#[test]
+fn flows_of_a_target_that_does_not_listen_survive_restarts_of_its_agent() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    for agent in &mut sim.agents {
+        agent.check_result = Some(CheckResult::Refused);
+    }
+    (0..usize::from(AGENTS)).for_each(|index| sim.restart_agent(index));
+    sim.advance(1_500);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    let owner = order[2];
+    sim.stop_agent(owner);
+    for index in &order[..2] {
+        sim.restart_agent(*index);
+    }
+    sim.restart_balancer(1);
+    sim.advance(1_100);
+    send_with_retransmissions(&mut sim, number);
+    assert!(!sim.was_reset(number), "while the agent is away");
+    sim.restart_agent(owner);
+    sim.advance(20);
+    send_with_retransmissions(&mut sim, number);
+    assert!(!sim.was_reset(number), "after its return");
+}
+
+// The callers of idle flows learn that the target has ended before they send the next request.
+#[test]
+fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let owner = sim.open_flow(0, 1);
+    let other = (2..200).find(|number| sim.open_flow(0, *number) != owner);
+    let other = other.expect("not all flows have the same owner");
+    sim.advance(600);
+    sim.end_target(owner);
+    sim.stop_agent(owner);
+    assert!(sim.was_reset(1), "the target has ended");
+    sim.advance(1_100);
+    assert!(!sim.was_reset(other), "the other target lives");
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    // Agents that start beside no target and leave again, targets that start and end, and checks that
+    // are refused, accepted, late or time out do not reset an open flow.
+    #[test]
+    fn no_schedule_of_losses_of_power_resets_an_open_flow(
+        agents in prop::sample::select(vec![2, 3, AGENTS]),
+        schedule in events(&[
+            |index, _| Event::LosePower(index),
+            |index, _| Event::EndTarget(index),
+            |index, _| Event::StopOrReturn(index),
+            |index, _| Event::StopOrReturn(index),
+            |index, _| Event::RestartAgent(index),
+            Event::Check,
+        ])
+    ) {
+        check_schedule((agents, 5, 20), &schedule)?;
+    }
+}
+
+// A SYN that was sent while a check was in progress may have opened a flow whose target has not answered
+// yet.
+#[test]
+fn a_refused_check_proves_nothing_after_a_syn() {
+    for syn_at_ms in [999, 1_000, 1_001] {
+        let mut checks = TargetChecks::default();
+        checks.record_syn(syn_at_ms);
+        checks.leave(1_000);
+        let check = checks.next(false, 1_000).expect("due at the exit");
+        checks.record_result(check, CheckResult::Refused);
+        assert_eq!(checks.is_gone(), syn_at_ms < 1_000);
+        checks.record_syn(1_002);
+        assert!(!checks.is_gone());
+    }
+}
+
+// A check costs the target a connection, so a target that is known to run is not checked.
+#[test]
+fn a_target_that_runs_is_checked_once_after_the_start_of_its_agent() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    let checks = |sim: &Simulation| sim.agents[0].checks;
+    assert_eq!(checks(&sim), 1);
+    sim.restart_agent(0);
+    sim.advance(30_000);
+    assert_eq!(checks(&sim), 1);
+    sim.restart_target(0);
+    sim.advance(5_000);
+    assert_eq!(checks(&sim), 1);
+    sim.end_target(0);
+    sim.restart_agent(0);
+    sim.advance(30_000);
+    assert_eq!(checks(&sim), 8, "every 200 ms for 1.5 s");
+    sim.restart_target(0);
+    sim.advance(30_000);
+    assert_eq!(checks(&sim), 9, "once more when the target is heard");
+    sim.stop_agent(0);
+    sim.advance(1_100);
+    assert_eq!(checks(&sim), 11, "twice before the exit");
+}
+
+/// A listener on a free port, with its address.
+fn listener(backlog: u32) -> (tokio::net::TcpListener, SocketAddrV4) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(backlog).unwrap();
+    let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+        unreachable!("an IPv4 socket");
+    };
+    (listener, address)
+}
+
+// The check itself, with real sockets: what it concludes, and that it closes its connection at once.
+#[tokio::test]
+async fn a_connection_is_accepted_closed_and_refused() {
+    let (listener, address) = listener(16);
+    assert_eq!(check_target(address).await, CheckResult::Accepted);
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buffer = [0; 1];
+    let read = tokio::io::AsyncReadExt::read(&mut stream, &mut buffer);
+    let read = tokio::time::timeout(Duration::from_secs(1), read).await;
+    assert_eq!(read.unwrap().unwrap(), 0, "the connection is closed");
+    drop((listener, stream));
+    assert_eq!(check_target(address).await, CheckResult::Refused);
+}
+
+// A suspended process answers no connection once its backlog is full, which must not count as refused.
+#[tokio::test]
+async fn a_connection_to_a_full_backlog_times_out() {
+    let (_listener, address) = listener(1);
+    let mut streams = Vec::new();
+    let connect = || tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(address));
+    while let Ok(stream) = connect().await {
+        streams.push(stream.unwrap());
+    }
+    assert_eq!(check_target(address).await, CheckResult::TimedOut);
+}
--- a/tests/platform_run.rs
+++ b/tests/platform_run.rs
@@ -2,7 +2,7 @@
 //! addresses, with fakes of the platform's store, the targets and the callers.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -333,16 +333,21 @@
         }
     }
 
-    /// Starts the target of the agent on `host`: a thread for packets and one for heartbeats.
+    /// Starts the target of the agent on `host`: a thread for packets and one for heartbeats. It listens
+    /// with TCP as long as it runs.
     fn start_target(&self, host: u8) {
         let address = ip(self.network, host);
+        let listener = TcpListener::bind((address, TARGET_PORT)).unwrap();
         let socket = UdpSocket::bind((address, TARGET_PORT)).unwrap();
         let outbound = SocketAddrV4::new(address, OUTBOUND_PORT);
         socket
             .set_read_timeout(Some(Duration::from_millis(20)))
             .unwrap();
         let stop = Arc::clone(&self.stop);
-        thread::spawn(move || serve_target(&socket, outbound, &stop));
+        thread::spawn(move || {
+            serve_target(&socket, outbound, &stop);
+            drop(listener);
+        });
         let stop = Arc::clone(&self.stop);
         thread::spawn(move || send_heartbeats(address, host, &stop));
     }
@@ -701,6 +706,44 @@
     }
 }
 
+/// Whether the agent has logged a check of its target with this use and result.
+fn has_checked(agent: &Daemon, used_for: &str, result: &str) -> bool {
+    let lines = agent.log_lines();
+    let mut checks = lines
+        .iter()
+        .filter(|line| line["msg"] == "target connection checked");
+    checks.any(|line| line["use"] == used_for && line["result"] == result)
+}
+
+// An agent whose target has ended leaves nothing that searches for lost flows would wait for. One whose
+// target runs leaves its entry.
+#[test]
+fn an_agent_leaves_its_entry_in_the_store_only_beside_a_running_target() {
+    let cluster = Cluster::new();
+    let _balancer = cluster.start("balancer", 1);
+    let mut agents = [11, 12].map(|host| cluster.start("agent", host));
+    for host in [11, 12] {
+        cluster.start_target(host);
+    }
+    Cluster::wait_for("readiness", || cluster.is_ready(1));
+    for agent in &agents {
+        Cluster::wait_for("the check of the target", || {
+            has_checked(agent, "start", "accepted") || has_checked(agent, "listening", "accepted")
+        });
+    }
+    agents[0].signal("-TERM");
+    assert!(agents[0].child.wait().unwrap().success());
+    assert!(has_checked(&agents[0], "exit", "accepted"));
+    assert!(agents[0].has_log_line("registration left to expire"));
+    // The targets end.
+    cluster.stop.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(300));
+    agents[1].signal("-TERM");
+    assert!(agents[1].child.wait().unwrap().success());
+    assert!(has_checked(&agents[1], "exit", "refused"));
+    assert!(!agents[1].has_log_line("registration left to expire"));
+}
+
 #[test]
 fn help_and_command_line_errors() {
     let run = |arguments: &[&str]| {
--- a/tests/reset_model.rs
+++ b/tests/reset_model.rs
@@ -1,5 +1,5 @@
-//! State machine of lookups, membership, route versions and restores of the store, run against the
-//! forwarding cores: no schedule of all kinds of events together resets an open flow that a live
+//! State machine of lookups, membership, route versions, restores of the store, losses of power and
+//! checks of targets, run against the forwarding cores: no schedule of all kinds of events together resets an open flow that a live
 //! target holds.
 
 mod simulation;
@@ -51,7 +51,10 @@
             1 => agent.clone().prop_map(Event::Drain),
             1 => agent.clone().prop_map(Event::Freeze),
             1 => (0..3_usize).prop_map(Event::ChangeRoutes),
-            1 => agent.prop_map(Event::ReuseAddress),
+            1 => agent.clone().prop_map(Event::ReuseAddress),
+            2 => agent.clone().prop_map(Event::EndTarget),
+            1 => agent.clone().prop_map(Event::LosePower),
+            1 => (agent, 0..4_usize).prop_map(|(agent, choice)| Event::Check(agent, choice)),
             1 => Just(Event::RestoreStore),
         ]
         .boxed()
@@ -73,6 +76,10 @@
                 state.is_up[*index] ^= true;
             }
             Event::Freeze(index) => state.is_frozen[*index] ^= true,
+            Event::LosePower(_) => {
+                state.is_up = [true; AGENTS];
+                state.is_frozen = [false; AGENTS];
+            }
             _ => {}
         }
         state
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -18,6 +18,7 @@
         agent::{
             core::{AgentCore, AgentVerdict},
             target::{Heartbeat, Target},
+            target_check::{CheckResult, StartedCheck},
         },
         balancer::core::{BalancerCore, Verdict},
         notices::Notice,
@@ -152,6 +153,8 @@
     pub requests: Vec<FlowKey>,
     /// Whether the target ignores packets and sends no heartbeats, as if it were dead.
     pub is_silent: bool,
+    /// Whether the process of the target has ended.
+    pub has_ended: bool,
     /// Whether the target has not completed its start: it returns SYNs, and answers data of flows
     /// that it does not hold with a reset.
     pub is_starting: bool,
@@ -175,6 +178,7 @@
             syns: 0,
             requests: Vec::new(),
             is_silent: false,
+            has_ended: false,
             is_starting: false,
             refused: Vec::new(),
             denied: Vec::new(),
@@ -191,7 +195,7 @@
             "a target received a returned packet"
         );
         let key = segment.caller_flow();
-        if self.is_silent {
+        if self.is_silent || self.has_ended {
             return Vec::new();
         }
         let mut returned = bytes.to_vec();
@@ -281,6 +285,14 @@
     heartbeat_sequence: u64,
     /// Incarnation of the target, counted from 1.
     target_incarnation: u64,
+    /// Result of connections to the target's address; `None` if it depends on the target.
+    pub check_result: Option<CheckResult>,
+    /// Time from the start of a check to its result.
+    pub check_delay_ms: u64,
+    /// Number of checks of the target since the start of the agent.
+    pub checks: usize,
+    /// Check in progress, with its result and the time at which the agent gets it.
+    pending_check: Option<(u64, StartedCheck, CheckResult)>,
 }
 
 /// A message in a socket of an agent.
@@ -459,6 +471,10 @@
             instance: own,
             heartbeat_sequence: 0,
             target_incarnation: 1,
+            check_result: None,
+            check_delay_ms: 0,
+            checks: 0,
+            pending_check: None,
         }
     }
 
@@ -495,19 +511,69 @@
         let host = u8::try_from(index).expect("few agents");
         let placeholder = SimulatedTarget::new(0, 0, 0);
         let target = std::mem::replace(&mut self.agents[index].target, placeholder);
-        let (heartbeat_sequence, target_incarnation) = (
+        let (heartbeat_sequence, target_incarnation, check_result, check_delay_ms) = (
             self.agents[index].heartbeat_sequence,
             self.agents[index].target_incarnation,
+            self.agents[index].check_result,
+            self.agents[index].check_delay_ms,
         );
         let agent = self.new_agent(host, self.now_ms, target);
         self.lost_entries.remove(&agent.instance.control_address);
         self.agents[index] = SimulatedAgent {
             heartbeat_sequence,
             target_incarnation,
+            check_result,
+            check_delay_ms,
             ..agent
         };
     }
 
+    /// Ends the process of a target, which loses its flows.
+    pub fn end_target(&mut self, index: usize) {
+        self.restart_target(index);
+        self.agents[index].target.has_ended = true;
+    }
+
+    /// All machines lose their power and start again, except for the target at `without_target`. The
+    /// store keeps the entries of the agents.
+    pub fn lose_power(&mut self, without_target: usize) {
+        for index in 0..self.agents.len() {
+            self.restart_target(index);
+            if index == without_target {
+                self.end_target(index);
+            }
+            self.restart_agent(index);
+        }
+        (0..self.balancers.len()).for_each(|index| self.restart_balancer(index));
+    }
+
+    /// Starts the check of a target that is due, and hands the agent the result that is due.
+    fn check_target(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let agent = &mut self.agents[index];
+        if !agent.is_up || agent.is_frozen {
+            return;
+        }
+        if let Some(check) = agent.core.target.next_check(now_ms) {
+            let by_state = if agent.target.has_ended {
+                CheckResult::Refused
+            } else if agent.target.is_silent {
+                CheckResult::Failed
+            } else {
+                CheckResult::Accepted
+            };
+            agent.checks += 1;
+            let result = agent.check_result.unwrap_or(by_state);
+            agent.pending_check = Some((now_ms + agent.check_delay_ms, check, result));
+        }
+        if let Some((_, check, result)) = agent
+            .pending_check
+            .take_if(|(due_ms, ..)| *due_ms <= now_ms)
+        {
+            agent.core.handle_target_check(check, result, now_ms);
+        }
+    }
+
     /// Restarts a target, which loses its flows. The next heartbeat informs the agent.
     pub fn restart_target(&mut self, index: usize) {
         self.agents[index].target_incarnation += 1;
@@ -521,7 +587,7 @@
     fn send_heartbeat(&mut self, index: usize) {
         let now_ms = self.now_ms;
         let agent = &mut self.agents[index];
-        if !agent.is_up || agent.target.is_silent {
+        if !agent.is_up || agent.target.is_silent || agent.target.has_ended {
             return;
         }
         agent.heartbeat_sequence += 1;
@@ -565,6 +631,7 @@
                 core.tick(now_ms);
             }
             for index in 0..self.agents.len() {
+                self.check_target(index);
                 let agent = &mut self.agents[index];
                 let responses = agent.target.advance(now_ms);
                 if agent.is_up {
@@ -718,9 +785,9 @@
             return;
         }
         agent.exits_at_ms = Some(self.now_ms + LEAVE_GRACE_MS);
-        let load = Some(agent.core.load(self.now_ms));
-        let version = agent.core.route_version();
-        agent.core.peering.leave(version, load, self.now_ms);
+        agent.core.stop(self.now_ms);
+        self.check_target(index);
+        self.dispatch_queued(index);
         self.deliver_notices();
     }
 
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -3,11 +3,15 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use bamboowind::flow::routes::{Backend, Class, Route, RouteTable};
+use bamboowind::{
+    flow::routes::{Backend, Class, Route, RouteTable},
+    forward::agent::target_check::CheckResult,
+};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 use super::{
-    ACK, OTHER_SERVICE, RST, SERVICE, SYN, Simulation, caller, flow, service_address, syn,
+    ACK, OTHER_SERVICE, RST, SERVICE, SYN, SimulatedAgent, Simulation, caller, flow,
+    service_address, syn,
 };
 
 /// An event of a random schedule, with the number of the instance that it happens to.
@@ -42,6 +46,12 @@
     RestoreStore,
     /// The target of an agent ends, and its address goes to a target of the other service.
     ReuseAddress(usize),
+    /// The process of a target ends, or another one starts in its place.
+    EndTarget(usize),
+    /// All machines lose their power. All processes start again, except for this target.
+    LosePower(usize),
+    /// The connections with which an agent checks its target end in this way (a choice) from now on.
+    Check(usize, usize),
 }
 
 impl Event {
@@ -61,6 +71,9 @@
             Self::RestartTarget(index) => Self::RestartTarget(index % agents),
             Self::Drain(index) => Self::Drain(index % agents),
             Self::Freeze(index) => Self::Freeze(index % agents),
+            Self::EndTarget(index) => Self::EndTarget(index % agents),
+            Self::LosePower(index) => Self::LosePower(index % agents),
+            Self::Check(index, choice) => Self::Check(index % agents, choice),
             Self::Open(_)
             | Self::Requests(_)
             | Self::RestartBalancer(_)
@@ -119,6 +132,16 @@
     Arc::new(RouteTable::new(version, vec![route]))
 }
 
+/// Lets the checks of an agent end according to its target, at once or late, or time out.
+fn set_checks(agent: &mut SimulatedAgent, choice: usize) {
+    (agent.check_result, agent.check_delay_ms) = match choice % 4 {
+        0 => (None, 0),
+        1 => (None, 50),
+        2 => (None, 190),
+        _ => (Some(CheckResult::TimedOut), 200),
+    };
+}
+
 /// A run of a random schedule.
 pub struct Run {
     pub sim: Simulation,
@@ -177,7 +200,7 @@
     pub fn apply(&mut self, event: Event) -> Result<(), String> {
         let event = event.modulo(self.sim.agents.len());
         let starts_process = match event {
-            Event::RestartBalancer(_) | Event::RestartAgent(_) => true,
+            Event::RestartBalancer(_) | Event::RestartAgent(_) | Event::LosePower(_) => true,
             Event::LeaveOrReturn(index) | Event::StopOrReturn(index) => {
                 self.sim.agents[index].is_stopping()
             }
@@ -241,6 +264,12 @@
                 sim.restart_target(index);
             }
             Event::RestoreStore => sim.restore_store(),
+            Event::EndTarget(index) if sim.agents[index].target.has_ended => {
+                sim.restart_target(index);
+            }
+            Event::EndTarget(index) => sim.end_target(index),
+            Event::LosePower(index) => sim.lose_power(index),
+            Event::Check(index, choice) => set_checks(&mut sim.agents[index], choice),
             Event::RestartTarget(index) => sim.restart_target(index),
             Event::Drain(index) => sim.agents[index].is_draining ^= true,
             Event::Freeze(index) if sim.agents[index].is_frozen => sim.thaw_agent(index),
