--- a/src/forward/agent/mod.rs
+++ b/src/forward/agent/mod.rs
@@ -15,4 +15,5 @@
 pub mod syn;
 pub mod syn_queue;
 pub mod target;
+pub mod target_check;
 pub mod warmup;
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -7,6 +7,7 @@
 use super::{
     absence::AbsenceGround,
     agent::suspicion::{Outcome, SuspicionChange},
+    agent::target_check::CheckOutcome,
     agent::warmup::{ColdTarget, ColdWindow},
     evacuation::EvacuationSource,
 };
@@ -331,6 +332,8 @@
         /// Version of the route table.
         route_version: u64,
     },
+    /// A check whether the local target's process is running has ended.
+    TargetChecked(CheckOutcome),
     /// A newer route table came into force.
     RoutesChanged {
         /// Version of the new table.
@@ -418,6 +421,7 @@
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
             Decision::TargetChanged { .. }
+            | Decision::TargetChecked(_)
             | Decision::TargetCold { .. }
             | Decision::TargetWarm { .. }
             | Decision::SuspicionChanged(_)
@@ -460,6 +464,7 @@
             SuspicionChange::Trusted { .. } => Event::TargetTrusted,
         },
         Decision::TargetCold { .. } | Decision::TargetWarm { .. } => Event::TargetWarmthChanged,
+        Decision::TargetChecked(_) => Event::TargetChecked,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
         Decision::EvacuationsChanged { .. } => Event::EvacuationsChanged,
         Decision::RemainingTargetsFull { .. } => Event::RemainingTargetsFull,
@@ -550,6 +555,12 @@
     }
 }
 
+fn write_check(log: &Logger, outcome: CheckOutcome, suppressed: u64) {
+    info!(log, "target connection checked"; "use" => outcome.used_for.name(),
+        "result" => outcome.result.name(), "took_ms" => outcome.took_ms,
+        "is_proof" => outcome.is_proof, "left_out" => suppressed);
+}
+
 /// Logs a decision. `suppressed` is the number of lines left out by the rate limit since the last
 /// one.
 #[allow(clippy::too_many_lines)] // One arm per decision, without logic.
@@ -647,6 +658,7 @@
         Decision::TargetChanged { .. }
         | Decision::TargetCold { .. }
         | Decision::TargetWarm { .. }
+        | Decision::TargetChecked(_)
         | Decision::SuspicionChanged(_)
         | Decision::EvacuationsChanged { .. }
         | Decision::RemainingTargetsFull { .. }
@@ -677,6 +689,7 @@
             route_version,
         } => info!(log, "target warm"; "sequence" => sequence, "route_version" => route_version,
             "left_out" => suppressed),
+        Decision::TargetChecked(outcome) => write_check(log, outcome, suppressed),
         Decision::RoutesChanged {
             version,
             previous,
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -78,6 +78,8 @@
     TargetTrusted => "target_trusted",
     /// The agent of a suspect target redirected a SYN to another agent.
     FlowKeptFromSuspect => "flow_kept_from_suspect",
+    /// It was checked whether the local target accepts connections.
+    TargetChecked => "target_checked",
     /// The routes were updated.
     RoutesChanged => "routes_changed",
     /// Failure domains were evacuated or returned to service.
