Show that the tests of the evacuation fail without the change

One test adopted all sets before it checked the time between them, so it would have passed without the hold after a restore.

--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -240,6 +240,14 @@
         self.evacuations.is_evacuated(domain, now_ms)
     }
 
+    /// Time at which this process learned that its failure domain was returned to service; `None` if it
+    /// is evacuated or was not evacuated during the lifetime of this process.
+    #[must_use]
+    pub fn returned_to_service_at_ms(&self) -> Option<u64> {
+        let domain = &self.local_instance.failure_domain;
+        self.evacuations.returned_at_ms(domain)
+    }
+
     /// Current interval between two presence messages, in milliseconds.
     fn presence_interval_ms(&self) -> u64 {
         let others = self.directory.members().len() as u64;
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -5,12 +5,14 @@
     control::store::{Revision, StoreEra},
     flow::packet::{HopMetadata, PacketFormat},
     forward::{
+        balancer::core::Verdict,
         decision::{Decision, Reason},
         evacuation::{EvacuationSource, Evacuations},
         notices::Notice,
     },
     membership::{
         evacuation_set::{EvacuationSet, EvacuationVersion},
+        instance::Presence,
         rendezvous::tag,
     },
 };
@@ -90,6 +92,60 @@
     assert_eq!(accepted(&sim), usize::from(opened));
 }
 
+// The agent of the domain would redirect them, which costs the caller a hop, and may not know yet.
+#[test]
+fn balancers_place_neither_new_flows_nor_retransmissions_in_an_evacuated_domain() {
+    let mut sim = simulation();
+    let agents = sim
+        .agents
+        .iter()
+        .map(|agent| agent.core.peering.local_instance());
+    let in_b = agents.filter(|instance| &*instance.failure_domain == "b");
+    let in_b: Vec<_> = in_b.map(|instance| instance.packet_address).collect();
+    let is_placed_in_b = |sim: &mut Simulation, mut packet: Vec<u8>| {
+        let now_ms = sim.now_ms;
+        match sim.balancers[0].handle_caller_packet(&mut packet, now_ms) {
+            Verdict::Send(address) => in_b.contains(&address),
+            Verdict::Reset(..) | Verdict::Drop => panic!("two domains are in service"),
+        }
+    };
+    let numbers = 0..60;
+    let placed = numbers.filter(|number| is_placed_in_b(&mut sim, syn(*number, 0)));
+    let placed: Vec<_> = placed.collect();
+    assert!(!placed.is_empty());
+    sim.set_evacuated(0, &["b"], 5);
+    for number in placed {
+        assert!(!is_placed_in_b(&mut sim, syn(number, 1)));
+    }
+    for number in 100..160 {
+        assert!(!is_placed_in_b(&mut sim, syn(number, 0)));
+    }
+}
+
+// A SYN that is taken from the queue for a free slot in the evacuated domain would lose its place.
+#[test]
+fn free_slots_of_an_evacuated_domain_do_not_count() {
+    let mut sim = Simulation::new_in(&["a", "b"], 1, 4, 2, 20);
+    sim.set_evacuated(0, &["b"], 5);
+    let now_ms = sim.now_ms;
+    // Agents 0 and 2 are in domain a. Their slots are in use.
+    for index in [0, 2] {
+        for number in 0..3 {
+            let mut packet = syn(10 * u16::try_from(index).unwrap() + number, 0);
+            PlatformPacket.write_hop_metadata(&mut packet, hop(1));
+            let core = &mut sim.agents[index].core;
+            core.handle_inbound(&mut packet, now_ms);
+        }
+    }
+    sim.agents[2].core.tick(now_ms + 200);
+    let load = sim.agents[2].core.load(now_ms);
+    let from = sim.agent_address(2);
+    let core = &mut sim.agents[0].core;
+    core.handle_notice(from, Notice::Load(load), now_ms);
+    core.dispatch_queued(now_ms);
+    assert_eq!(core.take_dispatched().len(), 0, "the SYN stays queued");
+}
+
 // A sender that knows nothing of the evacuation: a partitioned balancer, an earlier build.
 #[test]
 fn the_agent_of_an_evacuated_domain_redirects_syns_of_uninformed_senders() {
@@ -260,6 +316,30 @@
     );
 }
 
+// The routes and a target are known, but only from instances that know no evacuations.
+#[test]
+fn a_started_balancer_that_can_place_flows_waits_for_the_evacuations() {
+    let mut sim = simulation();
+    sim.stored_evacuations = None;
+    sim.restart_balancer(0);
+    let now_ms = sim.now_ms;
+    let agent = &sim.agents[0].core;
+    let load = Some(agent.load(now_ms));
+    let presence = agent.peering.presence(agent.route_version(), load, now_ms);
+    let presence = Presence {
+        evacuations: EvacuationSet::default(),
+        ..presence
+    };
+    let from = sim.agent_address(0);
+    let core = &mut sim.balancers[0];
+    core.handle_notice(from, Notice::Presence(Box::new(presence), false), now_ms);
+    assert!(!core.accepts_packets(now_ms + 100));
+    assert!(
+        core.accepts_packets(now_ms + 1_000),
+        "nothing can be learned"
+    );
+}
+
 // The notice of the change is lost, so the next presence message of any instance brings the news.
 #[test]
 fn a_process_whose_watch_is_silent_learns_from_any_other_instance() {
@@ -288,15 +368,15 @@
 fn an_agent_that_was_suspended_admits_no_syn_before_it_hears_current_news() {
     let mut sim = simulation();
     sim.freeze_agent(1);
+    sim.advance(500);
+    // The socket holds notices from before the evacuation and has no room for more.
+    isolate_agent(&mut sim, 1);
     sim.set_evacuated(0, &["b"], 5);
     sim.advance(6_000);
     sim.send_to_agent(1, syn(1, 0), hop(0));
-    // Only the first notices found room in the socket, so what it holds lacks the news.
-    let known = sim.agents[1].core.peering.evacuations.clone();
-    isolate_agent(&mut sim, 1);
-    sim.drop_unread_notices(1);
     sim.thaw_agent(1);
-    assert!(!known.is_evacuated("b", sim.now_ms));
+    let evacuations = &sim.agents[1].core.peering.evacuations;
+    assert!(!evacuations.is_evacuated("b", sim.now_ms));
     sim.advance(100);
     assert_eq!(sim.syns_in("b"), 0);
     sim.lost_notices.clear();
@@ -305,6 +385,22 @@
     assert_eq!(accepted(&sim), 1);
 }
 
+// A process that hears of nobody after a suspension serves its callers all the same.
+#[test]
+fn a_suspended_agent_waits_for_news_for_at_most_a_second() {
+    let mut sim = simulation();
+    sim.freeze_agent(1);
+    sim.advance(500);
+    isolate_agent(&mut sim, 1);
+    sim.advance(6_000);
+    sim.thaw_agent(1);
+    sim.send_to_agent(1, syn(1, 0), hop(3));
+    sim.advance(500);
+    assert_eq!(sim.syns_in("b"), 0);
+    sim.advance(510);
+    assert_eq!(sim.syns_in("b"), 1);
+}
+
 // Between the restore and the operator's next write, the domain would get flows again.
 #[test]
 fn an_evacuation_that_a_restored_store_has_lost_holds_for_three_seconds() {
@@ -333,11 +429,14 @@
 fn an_evacuation_that_is_written_again_after_a_restore_has_no_gap() {
     let mut evacuations = Evacuations::new();
     evacuations.adopt(&set(1, 90, &["b"]), 0);
-    evacuations.adopt(&set(2, 40, &[]), 1_000);
-    evacuations.adopt(&set(2, 41, &["b"]), 2_500);
     for now_ms in (0..6_000).step_by(100) {
+        match now_ms {
+            1_000 => _ = evacuations.adopt(&set(2, 40, &[]), now_ms),
+            2_500 => _ = evacuations.adopt(&set(2, 41, &["b"]), now_ms),
+            _ => {}
+        }
         assert!(!evacuations.tick(now_ms));
-        assert!(evacuations.is_evacuated("b", now_ms));
+        assert!(evacuations.is_evacuated("b", now_ms), "at {now_ms} ms");
     }
     assert_eq!(evacuations.returned_at_ms("b"), None);
 }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -808,13 +808,6 @@
         self.agents[index].is_frozen = true;
     }
 
-    /// Drops the notices that a frozen agent process has not read, as if they had found no room in its
-    /// socket.
-    pub fn drop_unread_notices(&mut self, index: usize) {
-        let unread = &mut self.agents[index].unread;
-        unread.retain(|message| !matches!(message, Unread::Notice(..)));
-    }
-
     /// Ends the freeze of an agent process, which then reads its sockets: notices and heartbeats
     /// first, then packets.
     pub fn thaw_agent(&mut self, index: usize) {
