Read the clock for each packet at agents; reread after any change that cannot be read

From the review of the evacuation. A suspension in the middle of a batch let up to 63 SYNs pass with the time before it; a deletion with one malformed field kept a domain evacuated; after a suspension a notice of 100 ms after the end could still be an old one for a process with a quota of processor time. Found by reading; not run in a deployment yet.

--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -202,11 +202,12 @@
     }
 
     fn read_inbound(&mut self, buffer: &mut [u8; MAX_DATAGRAM_LEN]) {
-        let now_ms = self.clock.now_ms();
         for _ in 0..MAX_BATCH {
             let Some((len, _)) = self.io.packet_socket.receive(buffer) else {
                 return;
             };
+            // Read for each packet: a process that is suspended here may have missed an evacuation.
+            let now_ms = self.clock.now_ms();
             let verdict = self.core.handle_inbound(&mut buffer[..len], now_ms);
             self.apply_verdict(&buffer[..len], verdict);
         }
--- a/src/forward/evacuation.rs
+++ b/src/forward/evacuation.rs
@@ -23,7 +23,7 @@
 const SUSPENDED_AFTER_MS: u64 = 3_000;
 /// Time after the end of a suspension for which received notices may be older than that end. The
 /// socket holds some hundred of them.
-const BACKLOG_MS: u64 = 100;
+const BACKLOG_MS: u64 = 300;
 /// Maximum time after the end of a suspension to wait for a current notice. Every other instance
 /// sends one within half of that.
 const REFRESH_TIMEOUT_MS: u64 = 1_000;
--- a/src/forward/registrar.rs
+++ b/src/forward/registrar.rs
@@ -482,9 +482,10 @@
     }
 }
 
-/// Whether a change does not even tell its key, so that it may have been one of an evacuation.
+/// Whether a change could not be read as a whole, so that it may have been the deletion of a key or a
+/// change of an unknown one.
 fn is_unreadable(change: &Change) -> bool {
-    matches!(change, Change::Written(entry) if entry.key.is_empty())
+    matches!(change, Change::Written(entry) if entry.revision == Revision::ABSENT)
 }
 
 /// Records the era of a response or of a route table. Logs and counts that the store has been
