Leave agents that hold no flows out of the digest of views

Cause: after a loss of power agents beside ended targets end one after the other, and others notice that between 0.7 and 1.7 s later. Change: it is still asked while it is alive, but does not count in the digest. Test: differing_views_of_an_agent_that_holds_no_flows_do_not_matter failed before.

--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -283,7 +283,7 @@
     pub next: Option<&'a Member>,
     /// Rendezvous weight of `next`; 0 if there is none.
     pub next_weight: u64,
-    /// Digest of the names of all live agents, of [`VIEW_DIGEST_BITS`] bits.
+    /// Digest of the names of all live agents that may hold flows, of [`VIEW_DIGEST_BITS`] bits.
     pub digest: u32,
     /// Number of live agents.
     pub agents: usize,
@@ -651,7 +651,11 @@
                 continue;
             }
             view.agents += 1;
-            digest = digest.wrapping_add(member.name_hash);
+            // An agent that last said that it holds no flows is asked while it is alive and is not awaited
+            // afterwards, so it does not matter who has noticed its end already.
+            if !member.holds_no_flows() {
+                digest = digest.wrapping_add(member.name_hash);
+            }
             let weight = weight(flow_hash, member.name_hash);
             if weight < below_weight && (view.next.is_none() || weight > view.next_weight) {
                 view.next = Some(member);
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -83,6 +83,29 @@
     assert!(sim.was_reset(number), "no target holds the flow");
 }
 
+// Agents notice the end of another one at different times. While they differ about one that held no
+// flows, callers of lost flows would wait for their deadline.
+#[test]
+fn differing_views_of_an_agent_that_holds_no_flows_do_not_matter() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    let gone = order[5];
+    sim.advance(500 - sim.now_ms % 500 - 10);
+    sim.lose_power(gone);
+    sim.advance(3_000);
+    let address = |sim: &Simulation, index: usize| {
+        let instance = sim.agents[index].core.peering.local_instance();
+        instance.control_address
+    };
+    // One agent notices the end a second earlier than the others.
+    let path = (address(&sim, gone), address(&sim, order[1]));
+    sim.lost_notices.insert(path);
+    sim.advance(1_000);
+    assert!(sim.agents[gone].is_up);
+    sim.send_from_caller(1, sim.request(number));
+    assert!(sim.was_reset(number), "no target holds the flow");
+}
+
 // A target that is suspended while its agent restarts lives and holds its flows.
 #[test]
 fn a_flow_of_a_suspended_target_survives_the_restart_of_its_agent() {
