Await agents that the store's list lacks, and wait for those that know them

Cause: a started agent took one list of the store for complete, so an agent that was away and whose entry had been removed was unknown to it, and a search was taken for proof that no target held a flow. Lists of members named live instances only, so nobody told it.

Change: lists of members name awaited agents and for how long; processes announce how far back they know of every agent, and a started agent needs the whole list of one that has been running for longer.

--- a/benches/search.rs
+++ b/benches/search.rs
@@ -47,6 +47,7 @@
         is_in_rotation: false,
         next_within_ms: 200,
         receiver_was_draining: false,
+        history_ms: 0,
     }
 }
 
--- a/src/forward/absence.rs
+++ b/src/forward/absence.rs
@@ -103,19 +103,19 @@
 }
 
 /// Why a search is incomplete at an agent whose target has answered; `None` if it is complete so
-/// far. `generation` is that of the agent's directory, and `members_known` tells whether the agent
-/// has read the list of instances from the store.
+/// far. `generation` is that of the agent's directory, and `view_gap` tells why agents may be missing
+/// in it.
 #[must_use]
 pub fn gap_after_answer(
     hop: HopMetadata,
     answer: TargetAnswer,
     view: &SearchView<'_>,
     generation: u64,
-    members_known: bool,
+    view_gap: Option<SearchGap>,
     now_ms: u64,
 ) -> Option<SearchGap> {
-    if !members_known {
-        return Some(SearchGap::InstancesUnknown);
+    if view_gap.is_some() {
+        return view_gap;
     }
     if answer == TargetAnswer::Silent {
         return Some(SearchGap::TargetSilent);
--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -19,7 +19,7 @@
     flow::{packet::PacketFormat, routes::RouteVersion, table::FlowTable},
     forward::{
         absence::{FlowAbsence, TargetAnswer},
-        decision::Decision,
+        decision::{Decision, SearchGap},
         notices::{Notice, OwnerEvidence},
         peering::{MAX_LOAD_INTERVAL_MS, Peering},
     },
@@ -74,8 +74,10 @@
     pub(super) recovered_flows: FlowTable,
     /// Agents that SYNs were redirected to.
     pub(super) redirects: FlowTable,
-    /// Whether the full list of instances has been read from the store.
-    pub(super) members_known: bool,
+    /// Time at which the full list of instances was first read from the store; `None` before.
+    members_known_at_ms: Option<u64>,
+    /// Why the view of the agents was incomplete at the last tick; `None` if it was complete.
+    reported_gap: Option<SearchGap>,
     /// Version of the newest known route table.
     pub(super) route_version: RouteVersion,
     /// Time without packets after which an open flow is removed; `REGISTRATION_TTL_MS` until the
@@ -121,7 +123,8 @@
             recovered_owners: FlowTable::new(),
             recovered_flows: FlowTable::new(),
             redirects: FlowTable::new(),
-            members_known: false,
+            members_known_at_ms: None,
+            reported_gap: Some(SearchGap::InstancesUnknown),
             route_version: RouteVersion::default(),
             idle_timeout_ms: REGISTRATION_TTL_MS,
             reported_load: TargetLoad::default(),
@@ -312,7 +315,36 @@
     /// restored is not known, so an agent that starts relies only on a later list.
     pub fn set_members_known(&mut self, era: StoreEra, now_ms: u64) {
         let is_settled = self.peering.uptime_ms(now_ms) >= REGISTERED_AGAIN_MS;
-        self.members_known |= !era.is_after_restore() || is_settled;
+        if !era.is_after_restore() || is_settled {
+            self.members_known_at_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Why agents that may hold flows may be unknown to this one; `None` if its view is complete.
+    /// It rests on the store's list and on the knowledge of the instances that have been running for
+    /// longest, since the store may have lost the entry of an agent that is away.
+    pub(super) fn view_gap(&self, now_ms: u64) -> Option<SearchGap> {
+        let Some(known_at_ms) = self.members_known_at_ms else {
+            return Some(SearchGap::InstancesUnknown);
+        };
+        let listed_for_ms = now_ms.saturating_sub(known_at_ms);
+        let gap = self.peering.history_gap(listed_for_ms, now_ms)?;
+        Some(SearchGap::HistoryUnknown(gap))
+    }
+
+    /// Reports when the view of the agents becomes complete or incomplete.
+    fn report_view(&mut self, now_ms: u64) {
+        let gap = self.view_gap(now_ms);
+        if gap == self.reported_gap {
+            return;
+        }
+        self.peering.decisions.push(Decision::ViewChanged {
+            gap: gap.clone(),
+            history_ms: self.peering.history_ms(now_ms),
+            uptime_ms: self.peering.uptime_ms(now_ms),
+            members: self.peering.directory.members().len(),
+        });
+        self.reported_gap = gap;
     }
 
     /// Applies a heartbeat of the target. Returns `false` if it was stale and ignored.
@@ -395,11 +427,10 @@
             } => self.record_owner(owner, flows, evidence, now_ms),
             Notice::SlotRequest => self.slot_requests.record_request(from, now_ms),
             Notice::SlotGrant => self.use_slot_grant(from, now_ms),
-            Notice::Members(instances) => {
-                for instance in instances {
-                    let load = Some(self.load(now_ms));
-                    self.peering.add_instance(instance, version, load, now_ms);
-                }
+            Notice::Members(list) => {
+                let load = self.load(now_ms);
+                self.peering
+                    .handle_members(from, list, version, Some(&load), now_ms);
             }
         }
     }
@@ -422,6 +453,7 @@
             self.broadcast_state(now_ms);
         }
         self.peering.tick(version, Some(load.clone()), now_ms);
+        self.report_view(now_ms);
         let since_report_ms = now_ms.saturating_sub(self.load_reported_at_ms);
         self.peering.update_load_receivers(version, &load, now_ms);
         let is_due = since_report_ms >= self.peering.load_interval_ms();
--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -253,7 +253,7 @@
             answer,
             &view,
             directory.generation(),
-            self.members_known,
+            self.view_gap(now_ms),
             now_ms,
         );
         let is_incomplete = hop.is_incomplete || gap.is_some();
--- a/src/forward/balancer/core.rs
+++ b/src/forward/balancer/core.rs
@@ -291,11 +291,9 @@
             }
             // Slots are granted between agents only.
             Notice::SlotRequest | Notice::SlotGrant => {}
-            Notice::Members(instances) => {
-                for instance in instances {
-                    self.peering.add_instance(instance, version, None, now_ms);
-                }
-            }
+            Notice::Members(list) => self
+                .peering
+                .handle_members(from, list, version, None, now_ms),
         }
     }
 
--- a/src/forward/decision.rs
+++ b/src/forward/decision.rs
@@ -4,7 +4,7 @@
 
 use slog::{Logger, info, warn};
 
-use super::absence::AbsenceGround;
+use super::{absence::AbsenceGround, history::HistoryGap};
 use crate::{
     flow::{
         packet::{FlowKey, Lookup},
@@ -75,6 +75,8 @@
 pub enum SearchGap {
     /// The list of instances has not been read from the store yet.
     InstancesUnknown,
+    /// Instances that have been running for longer may know of agents that the store does not list.
+    HistoryUnknown(HistoryGap),
     /// The agents that two agents on the way know are not the same, or have changed meanwhile, so
     /// that one may not have been asked.
     ViewsDiffer,
@@ -96,6 +98,7 @@
     fn name(&self) -> &'static str {
         match self {
             Self::InstancesUnknown => "instances_unknown",
+            Self::HistoryUnknown(gap) => gap.name(),
             Self::ViewsDiffer => "views_differ",
             Self::TargetSilent => "target_silent",
             Self::AgentLeftOut { reason, .. } => match reason {
@@ -257,6 +260,29 @@
         /// What has changed.
         change: MemberChange,
     },
+    /// This process has received the list of an instance that has been running for longer, and
+    /// knows of every agent that is known there.
+    HistoryExtended {
+        /// Control address of the instance.
+        from: SocketAddrV4,
+        /// Time for which this process knows of every agent, in milliseconds.
+        history_ms: u64,
+        /// The same before the list, in milliseconds.
+        previous_ms: u64,
+        /// Time since the start of this process, in milliseconds.
+        uptime_ms: u64,
+    },
+    /// The view of the agents has become complete or incomplete.
+    ViewChanged {
+        /// Why it is incomplete; `None` if it is complete.
+        gap: Option<SearchGap>,
+        /// Time for which this process knows of every agent, in milliseconds.
+        history_ms: u64,
+        /// Time since the start of this process, in milliseconds.
+        uptime_ms: u64,
+        /// Number of known instances.
+        members: usize,
+    },
     /// An instance was removed because it left or was silent for too long.
     MemberRemoved {
         /// Name of the instance.
@@ -330,9 +356,10 @@
             | Decision::FlowsReturned { .. }
             | Decision::FlowsRecovered { .. }
             | Decision::OwnersHandedOver { .. } => &mut self.member_limit,
-            Decision::TargetChanged { .. } | Decision::RoutesChanged { .. } => {
-                &mut self.local_limit
-            }
+            Decision::TargetChanged { .. }
+            | Decision::RoutesChanged { .. }
+            | Decision::HistoryExtended { .. }
+            | Decision::ViewChanged { .. } => &mut self.local_limit,
             _ => &mut self.flow_limit,
         }
     }
@@ -360,6 +387,8 @@
         | Decision::OwnersHandedOver { .. } => Event::FlowOwnersRecovered,
         Decision::OwnerLearned { .. } => Event::FlowOwnerLearned,
         Decision::MemberChanged { .. } | Decision::MemberRemoved { .. } => Event::MemberChanged,
+        Decision::HistoryExtended { .. } => Event::HistoryExtended,
+        Decision::ViewChanged { .. } => Event::ViewChanged,
         Decision::TargetChanged { .. } => Event::TargetChanged,
         Decision::RoutesChanged { .. } => Event::RoutesChanged,
     }
@@ -458,6 +487,22 @@
             change,
         } => info!(log, "instance changed"; "member" => &*name, "incarnation" => incarnation,
             "change" => ?change, "left_out" => suppressed),
+        Decision::HistoryExtended {
+            from,
+            history_ms,
+            previous_ms,
+            uptime_ms,
+        } => info!(log, "list of a longer running instance received"; "from" => %from,
+            "history_ms" => history_ms, "previous_history_ms" => previous_ms,
+            "uptime_ms" => uptime_ms, "left_out" => suppressed),
+        Decision::ViewChanged {
+            gap,
+            history_ms,
+            uptime_ms,
+            members,
+        } => info!(log, "view of the agents changed"; "is_complete" => gap.is_none(),
+            "reason" => gap.as_ref().map_or("", SearchGap::name), "history_ms" => history_ms,
+            "uptime_ms" => uptime_ms, "members" => members, "left_out" => suppressed),
         Decision::MemberRemoved { name } => warn!(log, "instance removed"; "member" => &*name,
             "left_out" => suppressed),
         Decision::TargetChanged {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod decision;
 pub mod driver_io;
+pub mod history;
 pub mod notices;
 pub mod peering;
 pub mod registrar;
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -13,6 +13,8 @@
 
 /// Maximum number of flows in a notice, so that it fits into one datagram.
 const MAX_FLOWS: usize = 50;
+/// Maximum length that the encoding adds to an instance in a list, in bytes.
+const MEMBER_OVERHEAD_LEN: usize = 16;
 /// Maximum length of the instances in a notice, in bytes, so that it fits into one datagram.
 const MAX_MEMBERS_LEN: usize = 1_200;
 
@@ -26,6 +28,104 @@
     Recovered,
 }
 
+/// Part of the list of the instances known to one of them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MemberList {
+    /// Live instances, each with the time for which it has to be awaited if it is not heard from, in
+    /// milliseconds; `None` from earlier builds.
+    pub live: Vec<(Instance, Option<u32>)>,
+    /// Agents that are silent, leaving or only listed in the store and may return with flows, with
+    /// the time for which they have to be awaited, in milliseconds.
+    pub awaited: Vec<(Instance, u32)>,
+    /// Time for which the sender knows of every agent, in milliseconds; 0 if it is not known.
+    pub history_ms: u32,
+    /// Identifies the list among those of the sender.
+    pub list_id: u32,
+    /// Index of this part of the list, starting at 0.
+    pub part: u32,
+    /// Number of parts of the list; 0 if it is not known.
+    pub parts: u32,
+}
+
+impl MemberList {
+    fn to_message(&self) -> wire::Members {
+        let awaited = self
+            .awaited
+            .iter()
+            .map(|(instance, await_ms)| wire::AwaitedInstance {
+                instance: Some(instance.to_message()),
+                await_ms: *await_ms,
+            });
+        let await_ms = self.live.iter().map(|(_, await_ms)| *await_ms);
+        wire::Members {
+            instances: self.live.iter().map(|(i, _)| i.to_message()).collect(),
+            awaited: awaited.collect(),
+            history_ms: self.history_ms,
+            await_ms: await_ms.collect::<Option<_>>().unwrap_or_default(),
+            list_id: self.list_id,
+            part: self.part,
+            parts: self.parts,
+        }
+    }
+
+    /// Converts a wire message to a list without the instances that are malformed.
+    fn from_message(message: &wire::Members) -> Self {
+        let live = message.instances.iter().enumerate();
+        let live = live.filter_map(|(index, instance)| {
+            let await_ms = message.await_ms.get(index).copied();
+            Some((Instance::from_message(instance)?, await_ms))
+        });
+        let awaited = message.awaited.iter().filter_map(|awaited| {
+            let instance = Instance::from_message(awaited.instance.as_ref()?)?;
+            Some((instance, awaited.await_ms))
+        });
+        Self {
+            live: live.collect(),
+            awaited: awaited.collect(),
+            history_ms: message.history_ms,
+            list_id: message.list_id,
+            part: message.part,
+            parts: message.parts,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.live.is_empty() && self.awaited.is_empty()
+    }
+
+    /// Splits the list into parts that fit into one datagram each; at least one.
+    fn into_parts(self) -> Vec<Self> {
+        let mut parts = Vec::new();
+        let mut part = Self::default();
+        let mut part_len = 0;
+        let mut finish_if_full = |part: &mut Self, len: usize| {
+            let len = len + MEMBER_OVERHEAD_LEN;
+            if part_len + len > MAX_MEMBERS_LEN && !part.is_empty() {
+                parts.push(std::mem::take(part));
+                part_len = 0;
+            }
+            part_len += len;
+        };
+        for (instance, await_ms) in self.live {
+            finish_if_full(&mut part, instance.to_message().encoded_len());
+            part.live.push((instance, await_ms));
+        }
+        for (instance, await_ms) in self.awaited {
+            finish_if_full(&mut part, instance.to_message().encoded_len());
+            part.awaited.push((instance, await_ms));
+        }
+        parts.push(part);
+        let len = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        for (index, part) in (0..).zip(&mut parts) {
+            part.history_ms = self.history_ms;
+            part.list_id = self.list_id;
+            part.part = index;
+            part.parts = len;
+        }
+        parts
+    }
+}
+
 /// A control message from one instance to another.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
@@ -43,8 +143,8 @@
         /// Whether the owner has opened these flows, or may have according to others.
         evidence: OwnerEvidence,
     },
-    /// Instances known to the sender.
-    Members(Vec<Instance>),
+    /// Part of the list of the instances known to the sender.
+    Members(MemberList),
     /// The sender has queued SYNs and requests a free slot.
     SlotRequest,
     /// The sender reserves a free slot of its target for the receiver.
@@ -69,6 +169,7 @@
                 is_in_rotation: presence.is_in_rotation,
                 next_within_ms: presence.next_within_ms,
                 receiver_was_draining: presence.receiver_was_draining,
+                history_ms: presence.history_ms,
             }),
             Self::Load(load) => Body::Load(load.to_message(false)),
             Self::FlowOwner {
@@ -86,9 +187,7 @@
                     OwnerEvidence::Recovered => Body::RecoveredFlowOwner(message),
                 }
             }
-            Self::Members(instances) => Body::Members(wire::Members {
-                instances: instances.iter().map(Instance::to_message).collect(),
-            }),
+            Self::Members(list) => Body::Members(list.to_message()),
             Self::SlotRequest => Body::SlotRequest(wire::SlotRequest {}),
             Self::SlotGrant => Body::SlotGrant(wire::SlotGrant {}),
         };
@@ -113,6 +212,7 @@
                     is_in_rotation: presence.is_in_rotation,
                     next_within_ms: presence.next_within_ms,
                     receiver_was_draining: presence.receiver_was_draining,
+                    history_ms: presence.history_ms,
                 }),
                 presence.wants_members,
             ),
@@ -121,10 +221,7 @@
             Body::RecoveredFlowOwner(message) => flow_owner(&message, OwnerEvidence::Recovered)?,
             Body::SlotRequest(_) => Self::SlotRequest,
             Body::SlotGrant(_) => Self::SlotGrant,
-            Body::Members(members) => {
-                let instances = members.instances.iter();
-                Self::Members(instances.filter_map(Instance::from_message).collect())
-            }
+            Body::Members(members) => Self::Members(MemberList::from_message(&members)),
         })
     }
 }
@@ -206,20 +303,9 @@
     }
 
     /// Adds a list of instances, split into as many notices as necessary.
-    pub fn push_members(&mut self, to: SocketAddrV4, instances: &[Instance]) {
-        let mut chunk = Vec::new();
-        let mut chunk_len = 0;
-        for instance in instances {
-            let len = instance.to_message().encoded_len();
-            if chunk_len + len > MAX_MEMBERS_LEN && !chunk.is_empty() {
-                self.push(to, Notice::Members(std::mem::take(&mut chunk)));
-                chunk_len = 0;
-            }
-            chunk_len += len;
-            chunk.push(instance.clone());
-        }
-        if !chunk.is_empty() {
-            self.push(to, Notice::Members(chunk));
+    pub fn push_members(&mut self, to: SocketAddrV4, list: MemberList) {
+        for part in list.into_parts() {
+            self.push(to, Notice::Members(part));
         }
     }
 
--- a/src/forward/peering.rs
+++ b/src/forward/peering.rs
@@ -5,7 +5,8 @@
 
 use super::{
     decision::Decision,
-    notices::{Notice, Outbox},
+    history::{History, HistoryGap},
+    notices::{MemberList, Notice, Outbox},
 };
 use crate::{
     control::store::StoreReply,
@@ -36,6 +37,8 @@
 const MEMBERS_REQUEST_INTERVAL_MS: u64 = 2_000;
 /// Time after startup during which every round of presence messages requests the known instances.
 const STARTUP_MS: u64 = 1_000;
+/// Interval between two requests for the list of an instance with a longer history.
+const HISTORY_REQUEST_INTERVAL_MS: u64 = 100;
 /// Interval between two checks for silent instances.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 /// Time for which the store counts as reachable after its last response. It is longer than the
@@ -95,6 +98,24 @@
     addresses
 }
 
+/// An instance that was added to the directory.
+#[derive(Debug)]
+struct Added {
+    name: Arc<str>,
+    incarnation: u64,
+    control_address: SocketAddrV4,
+}
+
+impl From<&Instance> for Added {
+    fn from(instance: &Instance) -> Self {
+        Self {
+            name: Arc::clone(&instance.name),
+            incarnation: instance.incarnation,
+            control_address: instance.control_address,
+        }
+    }
+}
+
 /// Knowledge of this process about the other instances, and its own state as announced to them.
 #[derive(Debug)]
 pub struct Peering {
@@ -117,6 +138,13 @@
     presence_sent_at_ms: Option<u64>,
     /// Time of the last request for a list of instances; `None` before the first one.
     members_requested_at_ms: Option<u64>,
+    /// How far back this process knows of every agent.
+    history: History,
+    /// Time of the last request for the list of an instance with a longer history; `None` before
+    /// the first one.
+    history_requested_at_ms: Option<u64>,
+    /// Number of these requests.
+    history_requests: usize,
     /// Time of the last check for silent instances.
     swept_at_ms: u64,
     /// Time of the last response of the store to this instance; `None` before the first one.
@@ -143,6 +171,9 @@
             started_at_ms: now_ms,
             presence_sent_at_ms: None,
             members_requested_at_ms: None,
+            history: History::new(now_ms),
+            history_requested_at_ms: None,
+            history_requests: 0,
             swept_at_ms: now_ms,
             store_reached_at_ms: None,
             load_receivers: Vec::new(),
@@ -199,6 +230,130 @@
             is_in_rotation: self.is_in_rotation && !self.is_leaving(),
             next_within_ms: u32::try_from(self.presence_interval_ms()).unwrap_or(u32::MAX),
             receiver_was_draining: false,
+            history_ms: self.announced_history_ms(now_ms),
+        }
+    }
+
+    /// History of this process as other instances are told it, in milliseconds. It is never 0,
+    /// which stands for an earlier build.
+    fn announced_history_ms(&self, now_ms: u64) -> u32 {
+        let history_ms = self.history.history_ms(now_ms).max(1);
+        u32::try_from(history_ms).unwrap_or(u32::MAX)
+    }
+
+    /// Time for which this process knows of every agent, in milliseconds.
+    #[must_use]
+    pub fn history_ms(&self, now_ms: u64) -> u64 {
+        self.history.history_ms(now_ms)
+    }
+
+    /// Why this process may not know of every agent that may hold flows; see [`History::gap`].
+    #[must_use]
+    pub fn history_gap(&self, listed_for_ms: u64, now_ms: u64) -> Option<HistoryGap> {
+        self.history.gap(&self.directory, listed_for_ms, now_ms)
+    }
+
+    /// Requests the list of a live instance with a longer history, if there is one: another one at
+    /// each attempt, those of the own failure domain first.
+    fn request_history(
+        &mut self,
+        route_version: RouteVersion,
+        load: Option<TargetLoad>,
+        now_ms: u64,
+    ) {
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < HISTORY_REQUEST_INTERVAL_MS;
+        if self.history_requested_at_ms.is_some_and(is_recent) {
+            return;
+        }
+        let knows_more = |member: &&Member| {
+            let history_ms = member.history_ms(now_ms).unwrap_or_default();
+            member.is_confirmed
+                && member.forwards(now_ms)
+                && !self.directory.is_local(member)
+                && self.history.is_behind(history_ms, now_ms)
+        };
+        let domain = &self.local_instance.failure_domain;
+        let mut members: Vec<_> = self.directory.members().iter().filter(knows_more).collect();
+        members.sort_by_key(|member| member.instance.failure_domain != *domain);
+        let Some(index) = self.history_requests.checked_rem(members.len()) else {
+            return;
+        };
+        let address = members[index].instance.control_address;
+        let presence = Box::new(self.presence(route_version, load, now_ms));
+        self.outbox.push(address, Notice::Presence(presence, true));
+        self.history_requested_at_ms = Some(now_ms);
+        self.history_requests += 1;
+    }
+
+    /// Handles a part of a list of instances from the one at control address `from`.
+    pub fn handle_members(
+        &mut self,
+        from: SocketAddrV4,
+        list: MemberList,
+        route_version: RouteVersion,
+        load: Option<&TargetLoad>,
+        now_ms: u64,
+    ) {
+        for (instance, await_ms) in &list.live {
+            self.add_instance(instance.clone(), route_version, load.cloned(), now_ms);
+            if let Some(await_ms) = await_ms {
+                let await_ms = u64::from(*await_ms);
+                self.directory.await_live(&instance.name, await_ms, now_ms);
+            }
+        }
+        for (agent, await_ms) in &list.awaited {
+            let (agent, await_ms) = (agent.clone(), u64::from(*await_ms));
+            let added = Added::from(&agent);
+            if let Some(change) = self.directory.await_agent(agent, await_ms, now_ms) {
+                self.announce_to_added(added, change, route_version, load.cloned(), now_ms);
+            }
+        }
+        let previous_ms = self.history.history_ms(now_ms);
+        if self.history.record_part(from, &list, now_ms) {
+            self.decisions.push(Decision::HistoryExtended {
+                from,
+                history_ms: self.history.history_ms(now_ms),
+                previous_ms,
+                uptime_ms: self.uptime_ms(now_ms),
+            });
+        }
+    }
+
+    /// Sends a presence message to an instance that was added to the directory.
+    fn announce_to_added(
+        &mut self,
+        added: Added,
+        change: MemberChange,
+        route_version: RouteVersion,
+        load: Option<TargetLoad>,
+        now_ms: u64,
+    ) {
+        self.decisions.push(Decision::MemberChanged {
+            name: added.name,
+            incarnation: added.incarnation,
+            change,
+        });
+        let presence = Box::new(self.presence(route_version, load, now_ms));
+        let notice = Notice::Presence(presence, false);
+        self.outbox.push(added.control_address, notice);
+    }
+
+    /// The list of the instances known to this one, as it is sent to others.
+    fn member_list(&self, now_ms: u64) -> MemberList {
+        let to_u32 = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+        let live = self.directory.live(now_ms);
+        let awaited = self.directory.awaited(now_ms);
+        MemberList {
+            live: live
+                .map(|(instance, ms)| (instance.clone(), Some(to_u32(ms))))
+                .collect(),
+            awaited: awaited
+                .map(|(instance, ms)| (instance.clone(), to_u32(ms)))
+                .collect(),
+            history_ms: self.announced_history_ms(now_ms),
+            // Only tells apart the lists of a few seconds.
+            list_id: to_u32(now_ms & u64::from(u32::MAX)),
+            ..MemberList::default()
         }
     }
 
@@ -259,8 +414,9 @@
             at_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= interval_ms)
         };
         if is_due(self.presence_sent_at_ms, self.presence_interval_ms()) {
-            self.broadcast_presence(route_version, load, now_ms);
+            self.broadcast_presence(route_version, load.clone(), now_ms);
         }
+        self.request_history(route_version, load, now_ms);
         if now_ms.saturating_sub(self.swept_at_ms) >= SWEEP_INTERVAL_MS {
             self.swept_at_ms = now_ms;
             let removed = self.directory.remove_silent(now_ms);
@@ -348,16 +504,9 @@
         load: Option<TargetLoad>,
         now_ms: u64,
     ) {
-        let address = instance.control_address;
-        let (name, incarnation) = (Arc::clone(&instance.name), instance.incarnation);
+        let added = Added::from(&instance);
         if let Some(change) = self.directory.add_unconfirmed(instance, now_ms) {
-            self.decisions.push(Decision::MemberChanged {
-                name,
-                incarnation,
-                change,
-            });
-            let presence = Box::new(self.presence(route_version, load, now_ms));
-            self.outbox.push(address, Notice::Presence(presence, false));
+            self.announce_to_added(added, change, route_version, load, now_ms);
         }
     }
 
@@ -379,16 +528,15 @@
             let sender = self.directory.member(&name);
             let reply = Box::new(Presence {
                 receiver_was_draining: sender.is_some_and(|member| member.was_draining),
-                ..self.presence(route_version, load, now_ms)
+                ..self.presence(route_version, load.clone(), now_ms)
             });
             self.outbox.push(address, Notice::Presence(reply, false));
         }
         if wants_members {
-            let members = self.directory.members().iter();
-            let live = members.filter(|m| m.is_confirmed && m.forwards(now_ms));
-            let instances: Vec<_> = live.map(|member| member.instance.clone()).collect();
-            self.outbox.push_members(address, &instances);
+            let list = self.member_list(now_ms);
+            self.outbox.push_members(address, list);
         }
+        self.request_history(route_version, load, now_ms);
         if let Some(change) = change.clone() {
             self.decisions.push(Decision::MemberChanged {
                 name,
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -23,7 +23,7 @@
 const RESTART_GRACE_MS: u64 = 2_000;
 /// Silence after which an instance is removed; longer than a frozen process or a network partition
 /// is likely to last.
-const REMOVE_AFTER_MS: u64 = 30_000;
+pub const REMOVE_AFTER_MS: u64 = 30_000;
 /// Time for which an agent forwards packets after it has announced its exit.
 pub const LEAVE_GRACE_MS: u64 = 1_000;
 /// Time for which a search asks an agent that has announced its exit. The margin keeps packets from
@@ -39,6 +39,9 @@
 /// Silence up to which an unconfirmed agent, or one whose target is not known yet, may still appear
 /// with flows.
 const DISCOVERY_TIMEOUT_MS: u64 = 3_000;
+/// Time after which each running instance has read the store's list again. What a list of another
+/// instance says about the store is not older.
+const LISTING_VALID_MS: u64 = LEASE_TTL_MS / 3;
 /// Time for which an unconfirmed instance is considered alive after it was added.
 const UNCONFIRMED_ALIVE_MS: u64 = 1_500;
 
@@ -68,6 +71,15 @@
     pub is_listed: bool,
     /// The last list with the instance; `None` if there was none.
     last_listing: Option<Listing>,
+    /// Time until which the instance counts as listed without another list.
+    listed_until_ms: u64,
+    /// Time until which the unconfirmed agent is awaited although the store does not list it.
+    awaited_until_ms: u64,
+    /// Whether the unconfirmed agent is known only as one that others await, so it is not running.
+    is_reported_away: bool,
+    /// Time for which the instance knew of every agent, in milliseconds, and the time at which it
+    /// said so; `None` if it never did.
+    history: Option<(u64, u64)>,
     /// Time at which the instance first announced that it is about to exit, which may be before it
     /// was first heard here; `None` if it has not.
     leaving_since_ms: Option<u64>,
@@ -101,6 +113,10 @@
             is_confirmed: false,
             is_listed: false,
             last_listing: None,
+            listed_until_ms: 0,
+            awaited_until_ms: now_ms + DISCOVERY_TIMEOUT_MS,
+            is_reported_away: false,
+            history: None,
             leaving_since_ms: None,
             was_draining: false,
             route_version: RouteVersion::default(),
@@ -116,6 +132,9 @@
     /// Replaces the instance by a later incarnation, which the store lists under the same name.
     fn replace(&mut self, instance: Instance, now_ms: u64) {
         let (is_listed, last_listing) = (self.is_listed, self.last_listing);
+        let listed_until_ms = self.listed_until_ms;
+        // The flows of the earlier incarnation may still be there.
+        let awaited_until_ms = now_ms + self.await_ms(now_ms).max(DISCOVERY_TIMEOUT_MS);
         let was_draining = match self.load.state {
             TargetState::Draining => true,
             TargetState::Unknown => self.was_draining,
@@ -124,6 +143,8 @@
         *self = Self {
             is_listed,
             last_listing,
+            listed_until_ms,
+            awaited_until_ms,
             was_draining,
             ..Self::new(instance, now_ms)
         };
@@ -134,6 +155,8 @@
     pub fn is_alive(&self, now_ms: u64) -> bool {
         let timeout_ms = if self.is_confirmed {
             self.suspect_after_ms
+        } else if self.is_reported_away {
+            return false;
         } else {
             UNCONFIRMED_ALIVE_MS
         };
@@ -195,7 +218,7 @@
         }
         let silent_ms = self.silent_ms(now_ms);
         if !self.is_confirmed {
-            return self.is_listed || silent_ms <= DISCOVERY_TIMEOUT_MS;
+            return self.is_listed || now_ms <= self.awaited_until_ms;
         }
         // An agent that never heard from a target is most likely beside none.
         if self.load.state == TargetState::Unknown && self.load.flows == 0 {
@@ -204,6 +227,34 @@
         !self.holds_no_flows() && (self.is_listed || silent_ms <= RECOVERY_TIMEOUT_MS)
     }
 
+    /// Time for which this agent has to be awaited if it is not heard from any more, in
+    /// milliseconds; 0 for a balancer. All processes that are told of it await it until about the
+    /// same time.
+    fn await_ms(&self, now_ms: u64) -> u64 {
+        if self.instance.role != InstanceRole::Agent || self.is_confirmed && self.holds_no_flows() {
+            return 0;
+        }
+        let silent_ms = self.silent_ms(now_ms);
+        if self.is_confirmed && self.load.state == TargetState::Unknown && self.load.flows == 0 {
+            return DISCOVERY_TIMEOUT_MS.saturating_sub(silent_ms);
+        }
+        let known_ms = if self.is_confirmed {
+            RECOVERY_TIMEOUT_MS.saturating_sub(silent_ms)
+        } else {
+            self.awaited_until_ms.saturating_sub(now_ms)
+        };
+        let listed_ms = self.listed_until_ms.saturating_sub(now_ms);
+        known_ms.max(if self.is_listed { listed_ms } else { 0 })
+    }
+
+    /// Time for which the instance knows of every agent that was heard, in milliseconds; `None` if
+    /// it has not said so.
+    #[must_use]
+    pub fn history_ms(&self, now_ms: u64) -> Option<u64> {
+        let (history_ms, at_ms) = self.history?;
+        Some(history_ms.saturating_add(now_ms.saturating_sub(at_ms)))
+    }
+
     /// Why a search leaves out this agent, which is awaited.
     #[must_use]
     pub fn await_reason(&self) -> AwaitReason {
@@ -365,6 +416,62 @@
         Some(MemberChange::Joined)
     }
 
+    /// Records that an unconfirmed agent has to be awaited for `await_ms` although it may not be
+    /// running, as another instance says. An agent that was heard from here is not affected. Adds
+    /// the agent if it is not known.
+    pub fn await_agent(
+        &mut self,
+        agent: Instance,
+        await_ms: u64,
+        now_ms: u64,
+    ) -> Option<MemberChange> {
+        if agent.role != InstanceRole::Agent || agent.name == self.local_name {
+            return None;
+        }
+        let awaited_until_ms = now_ms + await_ms.min(REMOVE_AFTER_MS);
+        let mut change = None;
+        if self.find(&agent.name).is_err() {
+            let name = Arc::clone(&agent.name);
+            change = self.add_unconfirmed(agent, now_ms);
+            if let Ok(index) = self.find(&name) {
+                self.members[index].awaited_until_ms = awaited_until_ms;
+                self.members[index].is_reported_away = true;
+            }
+            return change;
+        }
+        self.extend_await(&agent.name, awaited_until_ms);
+        change
+    }
+
+    /// Awaits an unconfirmed agent until this time or longer.
+    fn extend_await(&mut self, name: &str, until_ms: u64) {
+        if let Ok(index) = self.find(name) {
+            let member = &mut self.members[index];
+            member.awaited_until_ms = member.awaited_until_ms.max(until_ms);
+        }
+    }
+
+    /// Records that an instance that another one has heard from recently has to be awaited for
+    /// `await_ms` if it is not heard from here.
+    pub fn await_live(&mut self, name: &str, await_ms: u64, now_ms: u64) {
+        self.extend_await(name, now_ms + await_ms.min(REMOVE_AFTER_MS));
+    }
+
+    /// The instances that forward packets, each with the time for which it has to be awaited if it
+    /// is not heard from any more, in milliseconds.
+    pub fn live(&self, now_ms: u64) -> impl Iterator<Item = (&Instance, u64)> {
+        let members = self.members.iter();
+        let live = members.filter(move |m| m.is_confirmed && m.forwards(now_ms));
+        live.map(move |member| (&member.instance, member.await_ms(now_ms)))
+    }
+
+    /// The agents that cannot be asked and are awaited, with the time for which, in milliseconds.
+    pub fn awaited(&self, now_ms: u64) -> impl Iterator<Item = (&Instance, u64)> {
+        let awaited = self.members.iter().filter(move |m| m.is_awaited(now_ms));
+        let awaited = awaited.map(move |member| (&member.instance, member.await_ms(now_ms)));
+        awaited.filter(|(_, await_ms)| *await_ms > 0)
+    }
+
     /// Updates the state of the local instance, so that it is included in the rendezvous order.
     pub fn update_local(&mut self, presence: Presence, now_ms: u64) {
         let name = std::mem::replace(&mut self.local_name, "".into());
@@ -412,6 +519,8 @@
         member.last_heard_at_ms = now_ms;
         member.route_version = presence.route_version;
         member.is_in_rotation = presence.is_in_rotation;
+        let history_ms = Some(presence.history_ms).filter(|history_ms| *history_ms > 0);
+        member.history = history_ms.map(|history_ms| (history_ms.into(), now_ms));
         let suspect_after_ms = u64::from(presence.next_within_ms) * SUSPECT_AFTER_PERCENT / 100;
         member.suspect_after_ms = suspect_after_ms.clamp(SUSPECT_AFTER_MS, REMOVE_AFTER_MS);
         if presence.reaches_store {
@@ -522,6 +631,11 @@
                 let is_this = last.read_at_ms == now_ms;
                 let may_be_lost =
                     last.era < era && now_ms.saturating_sub(last.read_at_ms) < LEASE_TTL_MS;
+                member.listed_until_ms = if is_this {
+                    now_ms + LISTING_VALID_MS
+                } else {
+                    last.read_at_ms + LEASE_TTL_MS
+                };
                 is_this || may_be_lost
             });
         }
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -187,4 +187,7 @@
     /// Whether the target of the receiver was draining according to the last report of the
     /// receiver's previous incarnation.
     pub receiver_was_draining: bool,
+    /// Time for which the sender knows of every agent, in milliseconds; 0 if it is not known. See
+    /// [`crate::forward::history`].
+    pub history_ms: u32,
 }
--- a/src/observe/counters.rs
+++ b/src/observe/counters.rs
@@ -65,6 +65,10 @@
     FlowLost => "flow_lost",
     /// Another instance was added, changed its state or was removed.
     MemberChanged => "member_changed",
+    /// The list of an instance with a longer history was received.
+    HistoryExtended => "history_extended",
+    /// The view of the agents has become complete or incomplete.
+    ViewChanged => "view_changed",
     /// The state of the local target has changed.
     TargetChanged => "target_changed",
     /// The routes were updated.
--- a/src/proto/flow.rs
+++ b/src/proto/flow.rs
@@ -98,6 +98,10 @@
     /// If the sender is about to exit, time since it first announced that, in milliseconds.
     #[prost(uint32, tag = "11")]
     pub leaving_for_ms: u32,
+    /// Time for which the sender knows of every agent that was heard, itself or by lists of instances that had
+    /// been running before it, in milliseconds and at most 30,000; 0 if it is not known (earlier builds).
+    #[prost(uint32, tag = "15")]
+    pub history_ms: u32,
 }
 /// Load of a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -171,6 +175,36 @@
     /// Instances that the sender has heard from recently.
     #[prost(message, repeated, tag = "1")]
     pub instances: ::prost::alloc::vec::Vec<Instance>,
+    /// Agents that cannot be asked for flows now, but may return beside a target that holds some.
+    #[prost(message, repeated, tag = "2")]
+    pub awaited: ::prost::alloc::vec::Vec<AwaitedInstance>,
+    /// Time for which the sender knows of every agent, as in its presence messages; 0 from earlier builds.
+    #[prost(uint32, tag = "3")]
+    pub history_ms: u32,
+    /// For each of `instances`, the time for which it has to be awaited if it is not heard from, in milliseconds;
+    /// empty from earlier builds.
+    #[prost(uint32, repeated, tag = "4")]
+    pub await_ms: ::prost::alloc::vec::Vec<u32>,
+    /// Identifies the list among those of the sender.
+    #[prost(uint32, tag = "5")]
+    pub list_id: u32,
+    /// Index of this message in the list, starting at 0.
+    #[prost(uint32, tag = "6")]
+    pub part: u32,
+    /// Number of messages of the list; 0 from earlier builds.
+    #[prost(uint32, tag = "7")]
+    pub parts: u32,
+}
+/// An agent that is silent, leaving or only listed in the store, and may return with flows.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AwaitedInstance {
+    /// The agent.
+    #[prost(message, optional, tag = "1")]
+    pub instance: ::core::option::Option<Instance>,
+    /// Time for which it has to be awaited from now on, in milliseconds. It depends on how long the agent has been
+    /// silent, whether it may hold flows, and when the store last listed it.
+    #[prost(uint32, tag = "2")]
+    pub await_ms: u32,
 }
 /// Route table: the services that receive the new flows to each address.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/extreme_numbers.rs
+++ b/tests/extreme_numbers.rs
@@ -9,7 +9,7 @@
     flow::packet::PacketFormat,
     forward::{
         agent::target::Heartbeat,
-        notices::{Notice, Outbox},
+        notices::{MemberList, Notice, Outbox},
         socket::MAX_DATAGRAM_LEN,
     },
     membership::instance::{Instance, InstanceRole, TargetLoad, TargetState},
@@ -240,16 +240,25 @@
             control_address: "10.0.0.1:7000".parse().unwrap(),
         }).collect();
         let mut outbox = Outbox::default();
-        outbox.push_members("10.0.0.2:7000".parse().unwrap(), &instances);
-        let mut received = Vec::new();
+        let list = MemberList {
+            live: instances.iter().map(|instance| (instance.clone(), Some(u32::MAX))).collect(),
+            awaited: instances.iter().map(|instance| (instance.clone(), u32::MAX)).collect(),
+            history_ms: u32::MAX,
+            list_id: u32::MAX,
+            ..MemberList::default()
+        };
+        outbox.push_members("10.0.0.2:7000".parse().unwrap(), list);
+        let (mut received, mut awaited) = (Vec::new(), Vec::new());
         for (_, notice) in outbox.drain() {
             let bytes = notice.encode();
             prop_assert!(bytes.len() <= MAX_DATAGRAM_LEN);
             if let Some(Notice::Members(members)) = Notice::decode(&bytes) {
-                received.extend(members);
+                received.extend(members.live.into_iter().map(|(instance, _)| instance));
+                awaited.extend(members.awaited.into_iter().map(|(instance, _)| instance));
             }
         }
-        prop_assert_eq!(received, instances);
+        prop_assert_eq!(&received, &instances);
+        prop_assert_eq!(awaited, instances);
     }
 
     #[test]
--- a/tests/reset_model.rs
+++ b/tests/reset_model.rs
@@ -1,5 +1,5 @@
-//! State machine of lookups, membership, route versions and restores of the store, run against the
-//! forwarding cores: no schedule of all kinds of events together resets an open flow that a live
+//! State machine of lookups, membership, route versions, restores of the store and entries that it
+//! removes, run against the forwarding cores: no schedule of all kinds of events together resets an open flow that a live
 //! target holds.
 
 mod simulation;
@@ -51,7 +51,8 @@
             1 => agent.clone().prop_map(Event::Drain),
             1 => agent.clone().prop_map(Event::Freeze),
             1 => (0..3_usize).prop_map(Event::ChangeRoutes),
-            1 => agent.prop_map(Event::ReuseAddress),
+            1 => agent.clone().prop_map(Event::ReuseAddress),
+            2 => agent.prop_map(Event::RemoveEntry),
             1 => Just(Event::RestoreStore),
         ]
         .boxed()
@@ -62,6 +63,8 @@
             // A stopped process neither freezes nor restarts, and a frozen one does not stop.
             Event::RestartAgent(index) | Event::Freeze(index) => state.is_up[*index],
             Event::LeaveOrReturn(index) | Event::StopOrReturn(index) => !state.is_frozen[*index],
+            // An agent that is away or frozen may lose its entry only by a restore or by its lease.
+            Event::RemoveEntry(index) => state.is_up[*index] && !state.is_frozen[*index],
             _ => true,
         }
     }
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -40,6 +40,7 @@
         is_in_rotation: false,
         next_within_ms: 200,
         receiver_was_draining: false,
+        history_ms: 0,
     }
 }
 
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -40,6 +40,8 @@
 pub const RST: u8 = 16;
 /// Time after which a running agent has registered again after a restore of the store.
 const REGISTERED_AGAIN_AFTER_MS: u64 = 1_100;
+/// Interval between two renewals of an agent's lease.
+const RENEW_INTERVAL_MS: u64 = 10_000;
 const RETURNED: u8 = 64;
 const FLAGS_OFFSET: usize = 10;
 const PAD_OFFSET: usize = 11;
@@ -647,9 +649,12 @@
                 if self.lost_notices.contains(&(from, to)) {
                     continue;
                 }
-                if let Notice::Members(instances) = &mut notice {
+                if let Notice::Members(list) = &mut notice {
                     let unlisted = &self.unlisted;
-                    instances.retain(|other| !unlisted.contains(&(other.control_address, to)));
+                    let is_told =
+                        |other: &Instance| !unlisted.contains(&(other.control_address, to));
+                    list.live.retain(|(other, _)| is_told(other));
+                    list.awaited.retain(|(other, _)| is_told(other));
                 }
                 if self.delayed.contains(&(from, to)) {
                     self.held_notices.push((from, to, notice));
@@ -725,11 +730,33 @@
     }
 
     fn exit_agent(&mut self, index: usize) {
+        self.stop_registering(index);
         let agent = &mut self.agents[index];
         agent.is_up = false;
         agent.stays_registered = agent.core.stays_registered(self.now_ms);
     }
 
+    /// Removes the entry of an agent from the store. A running agent learns of it when it renews its
+    /// lease.
+    pub fn remove_entry(&mut self, index: usize) {
+        let address = self.agents[index].instance.control_address;
+        let until_ms = self.now_ms + RENEW_INTERVAL_MS;
+        self.lost_entries.insert(address, until_ms);
+        if !self.agents[index].is_up || self.agents[index].is_frozen {
+            self.stop_registering(index);
+        }
+    }
+
+    /// An agent whose entry is missing does not register again before it returns.
+    fn stop_registering(&mut self, index: usize) {
+        let address = self.agents[index].instance.control_address;
+        if let Some(until_ms) = self.lost_entries.get_mut(&address)
+            && *until_ms > self.now_ms
+        {
+            *until_ms = u64::MAX;
+        }
+    }
+
     /// Restores the store from a copy without any agent's entry. Running agents register again; those
     /// that are away do so when they return.
     pub fn restore_store(&mut self) {
@@ -749,6 +776,7 @@
     /// Freezes an agent process, which is sent more messages meanwhile.
     pub fn freeze_agent(&mut self, index: usize) {
         self.agents[index].is_frozen = true;
+        self.stop_registering(index);
     }
 
     /// Ends the freeze of an agent process, which then reads its sockets: notices and heartbeats
--- a/tests/simulation/schedule.rs
+++ b/tests/simulation/schedule.rs
@@ -40,6 +40,8 @@
     ChangeRoutes(usize),
     /// The store comes back from a copy that lacks the entries of all agents.
     RestoreStore,
+    /// The store removes the entry of a running agent, which learns of it at its next renewal.
+    RemoveEntry(usize),
     /// The target of an agent ends, and its address goes to a target of the other service.
     ReuseAddress(usize),
 }
@@ -61,6 +63,7 @@
             Self::RestartTarget(index) => Self::RestartTarget(index % agents),
             Self::Drain(index) => Self::Drain(index % agents),
             Self::Freeze(index) => Self::Freeze(index % agents),
+            Self::RemoveEntry(index) => Self::RemoveEntry(index % agents),
             Self::Open(_)
             | Self::Requests(_)
             | Self::RestartBalancer(_)
@@ -241,6 +244,7 @@
                 sim.restart_target(index);
             }
             Event::RestoreStore => sim.restore_store(),
+            Event::RemoveEntry(index) => sim.remove_entry(index),
             Event::RestartTarget(index) => sim.restart_target(index),
             Event::Drain(index) => sim.agents[index].is_draining ^= true,
             Event::Freeze(index) if sim.agents[index].is_frozen => sim.thaw_agent(index),
