Agent: count only packets that a living target can have sent as signs of life

The address of a target that has ended answers data with a reset and a FIN with a bare acknowledgement. The acknowledgement added an open flow that the agent registered, and with which later answers counted as signs of life; so the exit check proved nothing and the agent was awaited.

A bare acknowledgement now shows life only on an open flow whose caller has sent no FIN, or as the answer to data of a flow that the agent does not know. A reset never does. A FIN of a flow that is not closed does.

The ended targets of the simulation send these answers.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -419,12 +419,19 @@
                     return AgentVerdict::Drop;
                 }
             }
-            // Resets and bare acknowledgements may still come from the address of a target that has
-            // ended, so they do not show that it serves flows.
-            if segment.data_len > 0 || segment.flags.syn || self.flows.is_opened(flow) {
+            let answers_data = self.has_sent_only_data(flow);
+            let shows_life = self.flows.shows_life(flow, &segment, answers_data);
+            if shows_life {
                 self.target.record_packet(now_ms);
             }
             self.probes.retain(|packet| packet.flow != flow);
+            let is_bare = segment.data_len == 0
+                && !segment.flags.syn
+                && !segment.flags.fin
+                && !segment.flags.rst;
+            if is_bare && !shows_life && !self.flows.is_opened(flow) {
+                return AgentVerdict::Caller(segment.destination);
+            }
             let packet = self.flows.record_target_packet(flow, &segment, now_ms);
             if let Some(outcome) = packet.outcome {
                 self.record_outcome(flow, outcome, now_ms);
--- a/src/forward/agent/flows.rs
+++ b/src/forward/agent/flows.rs
@@ -64,6 +64,8 @@
     has_long_request: bool,
     /// Whether the flow was opened at an earlier incarnation of the target, which has lost it.
     predates_target: bool,
+    /// Whether the caller has sent a FIN.
+    has_caller_fin: bool,
 }
 
 impl AgentFlow {
@@ -244,6 +246,25 @@
         entry.is_some_and(|entry| entry.stage != Stage::Handshake)
     }
 
+    /// Whether a packet of the target, which is not a returned one, shows that the target holds flows.
+    /// The address of a target that has ended answers data with a reset and a FIN with a bare
+    /// acknowledgement. `answers_data` tells whether a bare acknowledgement can only answer data.
+    #[must_use]
+    pub fn shows_life(&self, flow: FlowKey, segment: &Segment, answers_data: bool) -> bool {
+        if segment.flags.rst {
+            return false;
+        }
+        if segment.data_len > 0 || segment.flags.syn {
+            return true;
+        }
+        match self.flows.get(&flow) {
+            Some(entry) if entry.stage == Stage::Closed => false,
+            _ if segment.flags.fin => true,
+            Some(entry) if entry.stage == Stage::Open => !entry.has_caller_fin,
+            _ => answers_data,
+        }
+    }
+
     /// Mean service time in microseconds; 0 if there is no recent sample.
     #[must_use]
     pub fn service_time_us(&self, now_ms: u64) -> u32 {
@@ -281,6 +302,7 @@
             bare_packet: Vec::new(),
             has_long_request: false,
             predates_target: false,
+            has_caller_fin: false,
         };
         self.flows.insert(flow, entry);
         self.awaiting_request.push_back((flow, now_ms));
@@ -302,6 +324,7 @@
         }
         entry.last_packet_at_ms = now_ms;
         entry.caller_ack = segment.acknowledged;
+        entry.has_caller_fin |= segment.flags.fin;
         if segment.data_len == 0 && !segment.flags.rst && !segment.flags.fin {
             entry.bare_packet.clear();
             entry.bare_packet.extend_from_slice(datagram);
@@ -365,6 +388,7 @@
             bare_packet: Vec::new(),
             has_long_request: false,
             predates_target: false,
+            has_caller_fin: false,
         });
         if segment.flags.syn {
             entry.syn_ack_sequence = Some(segment.sequence);
--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -66,6 +66,18 @@
         AgentVerdict::Target
     }
 
+    /// Whether data of an unknown flow was sent to the target lately, and no FIN.
+    pub(super) fn has_sent_only_data(&self, flow: FlowKey) -> bool {
+        let probes = self.probes.iter().filter(|packet| packet.flow == flow);
+        let mut segments = probes.filter_map(|packet| self.format.decode(&packet.datagram));
+        let mut has_data = false;
+        let has_fin = segments.any(|segment| {
+            has_data |= segment.data_len > 0;
+            segment.flags.fin
+        });
+        has_data && !has_fin
+    }
+
     /// The owner of a flow as far as this agent knows it, and the hop metadata with which a packet is
     /// sent there; `None` if its search has gone on without this knowledge.
     ///
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -15,9 +15,9 @@
 };
 use proptest::prelude::*;
 use simulation::{
-    SERVICE, Simulation, flow,
+    ACK, FIN, SERVICE, Simulation, caller, datagram, flow,
     schedule::{Event, check_schedule, events, fixed_cases},
-    syn,
+    service_address, syn,
 };
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -258,6 +258,76 @@
     assert!(!sim.was_reset(other), "the other target lives");
 }
 
+/// Packet of a flow that carries a FIN and no data.
+fn fin(sim: &Simulation, number: u16) -> Vec<u8> {
+    let acknowledged = sim.acknowledgement(caller(number));
+    let (from, to) = (caller(number), service_address());
+    datagram(from, to, FIN | ACK, 8, acknowledged, 0)
+}
+
+// The address of a target that has ended answers data with resets and a FIN with a bare acknowledgement.
+// Neither is a flow or a sign of life: such an agent must not be taken for ready, and must not be awaited
+// once it has left.
+#[test]
+fn resets_and_acknowledgements_of_an_ended_target_are_no_signs_of_life() {
+    let hop = HopMetadata::default;
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let agent = 0;
+    sim.lose_power(agent);
+    sim.advance(20);
+    for number in [1, 2] {
+        for bytes in [fin(&sim, number), fin(&sim, number), sim.request(number)] {
+            sim.send_to_agent(agent, bytes, hop());
+            let load = sim.agents[agent].core.load(sim.now_ms);
+            assert_eq!((load.state, load.flows), (TargetState::Unknown, 0));
+        }
+        // The probe with data precedes the FIN.
+        sim.send_to_agent(agent, fin(&sim, number), hop());
+    }
+    sim.stop_agent(agent);
+    let load = sim.agents[agent].core.load(sim.now_ms);
+    assert_eq!((load.state, load.flows), (TargetState::Absent, 0));
+    assert!(!sim.agents[agent].core.stays_registered(sim.now_ms));
+}
+
+// The agent of a target that was heard and has ended gets resets and bare acknowledgements of the flows
+// that it knows. They must not hide that the target has ended.
+#[test]
+fn answers_on_open_flows_do_not_hide_that_the_target_has_ended() {
+    for sends_fin in [false, true] {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        let owner = sim.open_flow(0, 1);
+        let other = (2..200).find(|number| sim.open_flow(0, *number) == owner);
+        let other = other.expect("some flow has the same owner");
+        sim.advance(500 - sim.now_ms % 500 + 20);
+        sim.end_target(owner);
+        sim.agents[owner].check_delay_ms = 20;
+        sim.stop_agent(owner);
+        let bytes = if sends_fin {
+            fin(&sim, 1)
+        } else {
+            sim.request(1)
+        };
+        sim.send_to_agent(owner, bytes, HopMetadata::default());
+        sim.advance(30);
+        assert!(!sim.agents[owner].core.stays_registered(sim.now_ms));
+        assert!(sim.was_reset(other), "sent a FIN: {sends_fin}");
+    }
+}
+
+// A living target acknowledges data at once and may take long to respond. The first heartbeat comes later.
+#[test]
+fn a_bare_acknowledgement_of_data_shows_that_the_target_holds_the_flow() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.restart_agent(0);
+    sim.agents[0].target.is_silent = true;
+    sim.send_to_agent(0, sim.request(1), HopMetadata::default());
+    let acknowledgement = datagram(service_address(), caller(1), ACK, 1, 108, 0);
+    sim.send_from_target(0, acknowledgement);
+    let load = sim.agents[0].core.load(sim.now_ms);
+    assert_eq!((load.state, load.flows), (TargetState::Ready, 1));
+}
+
 proptest! {
     #![proptest_config(fixed_cases())]
 
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -39,6 +39,7 @@
 
 use packet::{HEADER_LEN, PlatformPacket};
 
+pub const FIN: u8 = 1;
 pub const SYN: u8 = 2;
 pub const ACK: u8 = 8;
 pub const RST: u8 = 16;
@@ -194,6 +195,30 @@
     queue: VecDeque<FlowKey>,
 }
 
+/// Packets sent by the address of a target that has ended: a reset in response to data, and a bare
+/// acknowledgement in response to a FIN.
+fn answer_of_ended_target(segment: &Segment) -> Vec<Vec<u8>> {
+    let (from, to) = (segment.destination, segment.source);
+    if segment.flags.rst || segment.flags.syn {
+        return Vec::new();
+    }
+    if segment.data_len > 0 {
+        return vec![datagram(from, to, RST, segment.acknowledged, 0, 0)];
+    }
+    if segment.flags.fin {
+        let acknowledged = segment.sequence.wrapping_add(1);
+        return vec![datagram(
+            from,
+            to,
+            ACK,
+            segment.acknowledged,
+            acknowledged,
+            0,
+        )];
+    }
+    Vec::new()
+}
+
 impl SimulatedTarget {
     fn new(sequence: u32, capacity: usize, service_ms: u64) -> Self {
         Self {
@@ -226,9 +251,12 @@
             "a target received a returned packet"
         );
         let key = segment.caller_flow();
-        if self.is_silent || self.has_ended {
+        if self.is_silent {
             return Vec::new();
         }
+        if self.has_ended {
+            return answer_of_ended_target(&segment);
+        }
         let mut returned = bytes.to_vec();
         returned[FLAGS_OFFSET] |= RETURNED;
         returned[PAD_OFFSET..PAD_OFFSET + 5].fill(0);
