Agent: know flows before concluding from a refusal that there is no target

At the exit a refused connection counted if no sign of life had been seen, also when the agent knew flows of its earlier incarnation. A target that does not listen and had sent only bare acknowledgements was then announced as ended.

The refusal counts only if the agent knows no open flow and no recovered one. While it leaves with recovered flows it reports at least one flow and stays registered.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -333,7 +333,10 @@
         let known_flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
         let flows = if self.target.has_exited() {
             0
-        } else if state == TargetState::Draining || self.target.may_hold_earlier_flows() {
+        } else if state == TargetState::Draining
+            || self.target.may_hold_earlier_flows()
+            || self.target.checks.is_leaving() && !self.recovered_flows.is_empty()
+        {
             // It may hold idle flows that this process has not seen since its start.
             known_flows.max(1)
         } else {
@@ -515,9 +518,15 @@
         self.peering.leave(self.route_version, load, now_ms);
     }
 
+    /// Whether the agent knows open flows, or flows of its earlier incarnation, that the target may hold.
+    fn may_hold_known_flows(&self) -> bool {
+        !self.recovered_flows.is_empty() || self.flows.open_flows().next().is_some()
+    }
+
     /// Applies the result of a check whether the target's process is running.
     pub fn handle_target_check(&mut self, check: StartedCheck, result: CheckResult, now_ms: u64) {
         let before = self.load(now_ms);
+        self.target.checks.record_flows(self.may_hold_known_flows());
         self.target.checks.record_result(check, result);
         let outcome = CheckOutcome {
             used_for: check.used_for,
--- a/src/forward/agent/recovery.rs
+++ b/src/forward/agent/recovery.rs
@@ -81,6 +81,7 @@
             len += 1;
         }
         if len > 0 {
+            self.target.checks.record_flows(true);
             self.peering
                 .decisions
                 .push(Decision::FlowsRecovered { len });
--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -144,6 +144,9 @@
     leaving_at_ms: Option<u64>,
     /// Number of checks with [`CheckUse::Exit`].
     exit_checks: u32,
+    /// Whether the agent knows flows that the target may hold, although it was not heard: a target that
+    /// does not listen refuses connections and may send only bare acknowledgements.
+    knows_flows: bool,
     /// Whether the agent has announced that its target has ended.
     is_announced: bool,
 }
@@ -240,6 +243,17 @@
         self.unanswered_since_ms.get_or_insert(now_ms);
     }
 
+    /// Records whether the agent knows flows that the target may hold.
+    pub fn record_flows(&mut self, knows_flows: bool) {
+        self.knows_flows = knows_flows;
+    }
+
+    /// Whether the agent is about to exit.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_at_ms.is_some()
+    }
+
     /// Records that the agent is about to exit.
     pub fn leave(&mut self, now_ms: u64) {
         self.leaving_at_ms.get_or_insert(now_ms);
@@ -259,7 +273,8 @@
     #[must_use]
     pub fn is_gone(&self) -> bool {
         let is_exit = |(check, _): &(StartedCheck, _)| check.used_for == CheckUse::Exit;
-        let counts = self.is_listening_known || self.alive_at_ms.is_none();
+        let shows_no_target = self.alive_at_ms.is_none() && !self.knows_flows;
+        let counts = self.is_listening_known || shows_no_target;
         self.last.as_ref().is_some_and(is_exit) && counts && self.refused_at_ms().is_some()
     }
 
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -243,6 +243,36 @@
     assert!(!sim.was_reset(number), "after its return");
 }
 
+// A target that does not listen refuses connections, and before its first heartbeat only bare
+// acknowledgements may have been seen. Its earlier flows were returned to the agent.
+#[test]
+fn flows_that_were_returned_to_an_agent_keep_it_awaited_beside_a_target_that_does_not_listen() {
+    for wait_ms in [10, 100, 1_200] {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        for agent in &mut sim.agents {
+            agent.check_result = Some(CheckResult::Refused);
+        }
+        (0..usize::from(AGENTS)).for_each(|index| sim.restart_agent(index));
+        sim.advance(1_500);
+        let (number, order) = sim.open_flow_with_owner_at(2);
+        let owner = order[2];
+        sim.agents[owner].target.is_silent = true;
+        sim.restart_agent(owner);
+        sim.advance(wait_ms);
+        sim.stop_agent(owner);
+        sim.advance(1_100);
+        assert!(!sim.agents[owner].core.recovered_flows().is_empty());
+        assert!(sim.agents[owner].core.stays_registered(sim.now_ms));
+        for index in &order[..2] {
+            sim.restart_agent(*index);
+        }
+        sim.restart_balancer(1);
+        sim.advance(4_000);
+        send_with_retransmissions(&mut sim, number);
+        assert!(!sim.was_reset(number), "left after {wait_ms} ms");
+    }
+}
+
 // The callers of idle flows learn that the target has ended before they send the next request.
 #[test]
 fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
