Agent: expect an answer only to packets with data

A living target need not answer a bare acknowledgement or a FIN, but one that stayed unanswered for 120 ms beside refused checks made searches pass the target. The new test fails without the change.

--- a/src/forward/agent/lookup.rs
+++ b/src/forward/agent/lookup.rs
@@ -62,7 +62,9 @@
                 at_ms: now_ms,
             });
         }
-        self.target.checks.record_sent(now_ms);
+        if segment.data_len > 0 {
+            self.target.checks.record_sent(now_ms);
+        }
         AgentVerdict::Target
     }
 
--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -137,7 +137,7 @@
     alive_at_ms: Option<u64>,
     /// Time of the last SYN sent to the target; `None` before the first one.
     syn_at_ms: Option<u64>,
-    /// Time of the first packet sent to the target that has not been answered; `None` if there is
+    /// Time of the first packet with data sent to the target that has not been answered; `None` if there is
     /// none.
     unanswered_since_ms: Option<u64>,
     /// Time of the stop command; `None` before it.
@@ -238,7 +238,8 @@
         self.syn_at_ms = Some(now_ms);
     }
 
-    /// Records that a packet of an unknown flow was sent to the target.
+    /// Records that data of an unknown flow was sent to the target, which even a target that does not
+    /// hold the flow answers.
     pub fn record_sent(&mut self, now_ms: u64) {
         self.unanswered_since_ms.get_or_insert(now_ms);
     }
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -273,6 +273,25 @@
     }
 }
 
+// A living target need not answer a bare acknowledgement or a FIN of an unknown flow, so only data that
+// goes unanswered shows that there is no target.
+#[test]
+fn unanswered_packets_without_data_prove_nothing() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].check_result = Some(CheckResult::Refused);
+    sim.agents[0].target.is_silent = true;
+    sim.restart_agent(0);
+    for bytes in [sim.handshake_ack(1), fin(&sim, 1)] {
+        sim.send_to_agent(0, bytes, HopMetadata::default());
+    }
+    sim.advance(150);
+    let checks = |sim: &Simulation| sim.agents[0].core.target.checks.clone();
+    assert!(!checks(&sim).shows_no_process(sim.now_ms));
+    sim.send_to_agent(0, sim.request(1), HopMetadata::default());
+    sim.advance(150);
+    assert!(checks(&sim).shows_no_process(sim.now_ms));
+}
+
 // The callers of idle flows learn that the target has ended before they send the next request.
 #[test]
 fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
