Agent: forget that a target listens when another one starts

The new target at the address need not listen, and its refusals counted as if it had ended, so open flows were reset at the exit of the agent. The price is one connection for each start of a target. The test of the number of checks expects that one, and the new test fails without the change.

--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -125,7 +125,8 @@
     in_progress: Option<StartedCheck>,
     /// The last check that has ended, with its result; `None` if there was none.
     last: Option<(StartedCheck, CheckResult)>,
-    /// Whether the target, or an earlier process at its address, has accepted a connection.
+    /// Whether the current incarnation of the target, or a process before its first heartbeat, has
+    /// accepted a connection.
     is_listening_known: bool,
     /// Number of checks of the current incarnation with [`CheckUse::Listening`].
     listening_checks: u32,
@@ -228,8 +229,11 @@
         self.unanswered_since_ms = None;
     }
 
-    /// Records that a new incarnation of the target has started.
+    /// Records that a new incarnation of the target has started, which may not listen.
     pub fn record_restart(&mut self) {
+        self.is_listening_known = false;
+        // An accepted connection may have been one of the previous incarnation.
+        self.in_progress = None;
         self.listening_checks = 0;
     }
 
