Agent: stay registered beside a target of which only packets were seen

An agent whose target had accepted a check and sent packets, but no heartbeat, removed its entry once it knew no flow, although the target may hold idle ones. The new test fails without the change.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -363,8 +363,8 @@
     /// return.
     #[must_use]
     pub fn stays_registered(&self, now_ms: u64) -> bool {
-        let is_heard = self.target.last_heartbeat().is_some();
-        !self.target.has_exited() && (is_heard || self.load(now_ms).flows > 0)
+        let may_hold_flows = self.target.is_known() || self.target.checks.may_hold_flows();
+        !self.target.has_exited() && (may_hold_flows || self.load(now_ms).flows > 0)
     }
 
     /// Handles a packet from a balancer or another agent.
--- a/src/forward/agent/target.rs
+++ b/src/forward/agent/target.rs
@@ -167,7 +167,8 @@
     }
 
     /// Whether the target has sent a heartbeat or a packet of a flow since the agent started.
-    fn is_known(&self) -> bool {
+    #[must_use]
+    pub fn is_known(&self) -> bool {
         self.last_heartbeat.is_some() || self.last_packet_at_ms.is_some()
     }
 
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -311,6 +311,25 @@
     assert!(!sim.was_reset(number), "the target holds the flow");
 }
 
+// The agent has seen one flow of a target that sends no heartbeats, and that flow has ended. The target may
+// hold idle flows.
+#[test]
+fn an_agent_that_has_seen_only_packets_of_its_target_stays_registered() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].target.is_silent = true;
+    sim.agents[0].check_result = Some(CheckResult::Accepted);
+    sim.restart_agent(0);
+    for (flags, len) in [(ACK, 50), (FIN | ACK, 0)] {
+        let bytes = datagram(service_address(), caller(1), flags, 1, 108, len);
+        sim.send_from_target(0, bytes);
+    }
+    sim.advance(4_000);
+    assert_eq!(sim.agents[0].core.flows(), 0);
+    sim.stop_agent(0);
+    sim.advance(1_100);
+    assert!(sim.agents[0].core.stays_registered(sim.now_ms));
+}
+
 // The callers of idle flows learn that the target has ended before they send the next request.
 #[test]
 fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
