Agent: judge no packet unanswered after a pause

An agent that was paused after it had sent a packet found it unanswered before it read the answer from its socket. The driver reads the target's packets before check results and held-back packets are handled, and after a gap of more than 60 ms between two ticks the time without an answer starts anew. The new test fails without the change.

--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -701,6 +701,7 @@
 
     /// Runs the periodic work: reports, slot requests, registrations and sweeps.
     pub fn tick(&mut self, now_ms: u64) {
+        self.target.checks.record_tick(now_ms);
         self.flows.set_capacity(self.capacity());
         self.record_warmth(now_ms);
         self.update_suspicion(now_ms);
--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -144,12 +144,16 @@
                     }
                 }
                 Some((check, result)) = self.checks.recv() => {
+                    // Packets that wait in the socket may show that the target lives.
+                    self.read_outbound(&mut buffer);
                     let now_ms = self.clock.now_ms();
                     self.core.handle_target_check(check, result, now_ms);
                 }
                 _ = ticks.tick() => self.tick(leaves_at_ms == u64::MAX),
             }
             self.start_target_check();
+            // A packet whose answer waits in the socket must not count as unanswered.
+            self.read_outbound(&mut buffer);
             self.dispatch_queued();
             self.record_responses();
             self.io.send_notices(&mut self.core.peering.outbox);
--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -28,6 +28,8 @@
 /// Time for which a packet must have gone unanswered before a search relies on refusals of a target
 /// that has never accepted a connection. Even a busy target returns a packet within this time.
 const UNANSWERED_MS: u64 = 120;
+/// Time between two ticks from which the agent counts as having been paused. Answers may then be unread.
+const MAX_TICK_GAP_MS: u64 = UNANSWERED_MS / 2;
 /// Time between the stop command and the second check. It leaves time for two presence messages.
 const SECOND_EXIT_CHECK_MS: u64 = 600;
 /// Maximum number of checks of a running incarnation of the target that has not accepted a connection
@@ -141,6 +143,8 @@
     /// Time of the first packet with data sent to the target that has not been answered; `None` if there is
     /// none.
     unanswered_since_ms: Option<u64>,
+    /// Time of the last tick; `None` before the first one.
+    ticked_at_ms: Option<u64>,
     /// Time of the stop command; `None` before it.
     leaving_at_ms: Option<u64>,
     /// Number of checks with [`CheckUse::Exit`].
@@ -248,6 +252,22 @@
         self.unanswered_since_ms.get_or_insert(now_ms);
     }
 
+    /// Records that the agent runs. After a pause, packets count as unanswered anew.
+    pub fn record_tick(&mut self, now_ms: u64) {
+        if self.is_paused(now_ms)
+            && let Some(since_ms) = &mut self.unanswered_since_ms
+        {
+            *since_ms = now_ms;
+        }
+        self.ticked_at_ms = Some(now_ms);
+    }
+
+    /// Whether the agent has not run lately, so that answers may be unread.
+    fn is_paused(&self, now_ms: u64) -> bool {
+        let ticked_at_ms = self.ticked_at_ms;
+        ticked_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) > MAX_TICK_GAP_MS)
+    }
+
     /// Records whether the agent knows flows that the target may hold.
     pub fn record_flows(&mut self, knows_flows: bool) {
         self.knows_flows = knows_flows;
@@ -302,7 +322,7 @@
         let is_unanswered = self
             .unanswered_since_ms
             .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= UNANSWERED_MS);
-        let counts = self.is_listening_known || is_unanswered;
+        let counts = self.is_listening_known || is_unanswered && !self.is_paused(now_ms);
         counts && self.is_recently_refused(now_ms)
     }
 
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -330,6 +330,26 @@
     assert!(sim.agents[0].core.stays_registered(sim.now_ms));
 }
 
+// The answer of a target may wait in the socket of an agent that was paused after it has sent a packet.
+#[test]
+fn a_paused_agent_does_not_judge_packets_whose_answers_it_has_not_read() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].check_result = Some(CheckResult::Refused);
+    sim.agents[0].target.is_silent = true;
+    sim.restart_agent(0);
+    sim.advance(20);
+    sim.send_to_agent(0, sim.request(1), HopMetadata::default());
+    sim.freeze_agent(0);
+    sim.advance(150);
+    let (core, now_ms) = (&mut sim.agents[0].core, sim.now_ms);
+    assert!(!core.target.is_unreachable(now_ms), "before the tick");
+    core.tick(now_ms);
+    assert!(!core.target.is_unreachable(now_ms), "after the tick");
+    sim.thaw_agent(0);
+    sim.advance(150);
+    assert!(sim.agents[0].core.target.is_unreachable(sim.now_ms));
+}
+
 // The callers of idle flows learn that the target has ended before they send the next request.
 #[test]
 fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
