Agent: recognize a check that has connected to itself

A check of a port without a listener may be given that port as its own. The connection then counted as accepted; it proves nothing. The new test fails without the comparison of the addresses.

--- a/src/forward/agent/driver.rs
+++ b/src/forward/agent/driver.rs
@@ -52,13 +52,25 @@
 pub async fn check_target(address: SocketAddrV4) -> CheckResult {
     let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
     match time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => CheckResult::Accepted,
+        Ok(Ok(stream)) => connection_result(&stream),
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => CheckResult::Refused,
         Ok(Err(_)) => CheckResult::Failed,
         Err(_) => CheckResult::TimedOut,
     }
 }
 
+/// Result of a check whose connection was established. One that has got the target's port as its own is
+/// connected to itself, which shows no process.
+#[must_use]
+pub fn connection_result(stream: &TcpStream) -> CheckResult {
+    match (stream.local_addr(), stream.peer_addr()) {
+        (Ok(local), Ok(peer)) if local != peer => CheckResult::Accepted,
+        // The process has closed the connection already.
+        (Ok(_), Err(_)) => CheckResult::Accepted,
+        _ => CheckResult::Failed,
+    }
+}
+
 /// An agent with its sockets and its event loop.
 #[derive(Debug)]
 pub struct AgentDriver<F: PacketFormat, L> {
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -8,7 +8,7 @@
 use bamboowind::{
     flow::packet::HopMetadata,
     forward::agent::{
-        driver::check_target,
+        driver::{check_target, connection_result},
         target_check::{CheckResult, TargetChecks},
     },
     membership::{instance::TargetState, rendezvous::tag},
@@ -521,6 +521,17 @@
     assert_eq!(check_target(address).await, CheckResult::Refused);
 }
 
+// A connection to a port without a listener may be given that port as its own and be connected to itself,
+// which must not count as accepted.
+#[tokio::test]
+async fn a_connection_to_itself_proves_nothing() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let stream = socket.connect(address).await.unwrap();
+    assert_eq!(connection_result(&stream), CheckResult::Failed);
+}
+
 // A suspended process answers no connection once its backlog is full, which must not count as refused.
 #[tokio::test]
 async fn a_connection_to_a_full_backlog_times_out() {
