Agent: check a silent target that listens at growing intervals

After an accepted start check the next one followed after 200 ms, and later ones each second for as long as the target stayed silent. They now follow after 1, 2, 4 and 8 s, and then every 8 s.

--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -21,8 +21,10 @@
 /// Time after the first check for which a target that has not been heard from is checked. A running one
 /// has sent a heartbeat by then.
 const START_MS: u64 = 1_500;
-/// Interval between two checks after `START_MS` of a target that is running and is not heard from.
+/// Interval after the first check that a target that is not heard from has not refused. It doubles with
+/// each further one, at most `MAX_STALLED_DOUBLINGS` times.
 const STALLED_INTERVAL_MS: u64 = 1_000;
+const MAX_STALLED_DOUBLINGS: u32 = 3;
 /// Time after the start of a refused check for which searches rely on it.
 const REFUSAL_TTL_MS: u64 = 300;
 /// Time for which a packet must have gone unanswered before a search relies on refusals of a target
@@ -130,6 +132,8 @@
     /// Whether the current incarnation of the target, or a process before its first heartbeat, has
     /// accepted a connection.
     is_listening_known: bool,
+    /// Number of consecutive checks with [`CheckUse::Start`] that were accepted or timed out.
+    stalled_checks: u32,
     /// Number of checks of the current incarnation with [`CheckUse::Listening`].
     listening_checks: u32,
     /// Whether a connection was refused before any sign of life since the start of the agent, so that
@@ -195,12 +199,14 @@
             let started_at_ms = self.last.map(|(check, _)| check.started_at_ms);
             started_at_ms.is_none_or(|at_ms| age_ms(at_ms) >= interval_ms)
         };
+        if !is_known && self.may_hold_flows() {
+            let doublings = self.stalled_checks.saturating_sub(1);
+            let interval_ms = STALLED_INTERVAL_MS << doublings.min(MAX_STALLED_DOUBLINGS);
+            return is_rested(interval_ms).then_some(CheckUse::Start);
+        }
         if self.alive_at_ms.is_none() && age_ms(self.first_at_ms.unwrap_or(now_ms)) < START_MS {
             return is_rested(START_INTERVAL_MS).then_some(CheckUse::Start);
         }
-        if !is_known && self.may_hold_flows() {
-            return is_rested(STALLED_INTERVAL_MS).then_some(CheckUse::Start);
-        }
         let is_due = self.alive_at_ms.is_some()
             && !self.is_listening_known
             && match self.listening_checks {
@@ -218,6 +224,14 @@
         self.in_progress = None;
         self.last = Some((check, result));
         self.is_listening_known |= result == CheckResult::Accepted;
+        if check.used_for == CheckUse::Start {
+            let is_stalled = matches!(result, CheckResult::Accepted | CheckResult::TimedOut);
+            self.stalled_checks = if is_stalled {
+                self.stalled_checks + 1
+            } else {
+                0
+            };
+        }
         self.was_refused |= result == CheckResult::Refused && self.alive_at_ms.is_none();
         self.is_announced |= self.is_gone();
     }
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -496,6 +496,21 @@
     assert_eq!(checks(&sim), 11, "twice before the exit");
 }
 
+// A target that accepts connections but stays silent gets them at growing intervals.
+#[test]
+fn a_silent_target_that_listens_is_checked_less_and_less_often() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].target.is_silent = true;
+    sim.agents[0].check_result = Some(CheckResult::Accepted);
+    sim.restart_agent(0);
+    let mut checks = vec![];
+    for wait_ms in [900, 600, 28_500] {
+        sim.advance(wait_ms);
+        checks.push(sim.agents[0].checks);
+    }
+    assert_eq!(checks, [1, 2, 6], "at 0, 1, 3, 7, 15 and 23 s");
+}
+
 /// A listener on a free port, with its address.
 fn listener(backlog: u32) -> (tokio::net::TcpListener, SocketAddrV4) {
     let socket = TcpSocket::new_v4().unwrap();
