--- a/src/forward/agent/core.rs
+++ b/src/forward/agent/core.rs
@@ -336,7 +336,10 @@
         let known_flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
         let flows = if self.target.has_exited() {
             0
-        } else if state == TargetState::Draining || self.target.may_hold_earlier_flows() {
+        } else if state == TargetState::Draining
+            || self.target.may_hold_earlier_flows()
+            || self.target.checks.is_leaving() && !self.recovered_flows.is_empty()
+        {
             // It may hold idle flows that this process has not seen since its start.
             known_flows.max(1)
         } else {
@@ -363,8 +366,8 @@
     /// return.
     #[must_use]
     pub fn stays_registered(&self, now_ms: u64) -> bool {
-        let is_heard = self.target.last_heartbeat().is_some();
-        !self.target.has_exited() && (is_heard || self.load(now_ms).flows > 0)
+        let may_hold_flows = self.target.is_known() || self.target.checks.may_hold_flows();
+        !self.target.has_exited() && (may_hold_flows || self.load(now_ms).flows > 0)
     }
 
     /// Handles a packet from a balancer or another agent.
@@ -422,12 +425,19 @@
                     return AgentVerdict::Drop;
                 }
             }
-            // Resets and bare acknowledgements may still come from the address of a target that has
-            // ended, so they do not show that it serves flows.
-            if segment.data_len > 0 || segment.flags.syn || self.flows.is_opened(flow) {
+            let answers_data = self.has_sent_only_data(flow);
+            let shows_life = self.flows.shows_life(flow, &segment, answers_data);
+            if shows_life {
                 self.target.record_packet(now_ms);
             }
             self.probes.retain(|packet| packet.flow != flow);
+            let is_bare = segment.data_len == 0
+                && !segment.flags.syn
+                && !segment.flags.fin
+                && !segment.flags.rst;
+            if is_bare && !shows_life && !self.flows.is_opened(flow) {
+                return AgentVerdict::Caller(segment.destination);
+            }
             let packet = self.flows.record_target_packet(flow, &segment, now_ms);
             if let Some(outcome) = packet.outcome {
                 self.record_outcome(flow, outcome, now_ms);
@@ -540,9 +550,15 @@
         self.peering.leave(self.route_version, load, now_ms);
     }
 
+    /// Whether the agent knows open flows, or flows of its earlier incarnation, that the target may hold.
+    fn may_hold_known_flows(&self) -> bool {
+        !self.recovered_flows.is_empty() || self.flows.open_flows().next().is_some()
+    }
+
     /// Applies the result of a check whether the target's process is running.
     pub fn handle_target_check(&mut self, check: StartedCheck, result: CheckResult, now_ms: u64) {
         let before = self.load(now_ms);
+        self.target.checks.record_flows(self.may_hold_known_flows());
         self.target.checks.record_result(check, result);
         let outcome = CheckOutcome {
             used_for: check.used_for,
@@ -716,6 +732,7 @@
 
     /// Runs the periodic work: reports, slot requests, registrations and sweeps.
     pub fn tick(&mut self, now_ms: u64) {
+        self.target.checks.record_tick(now_ms);
         self.flows.set_capacity(self.capacity());
         self.record_warmth(now_ms);
         self.update_suspicion(now_ms);
--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -21,13 +21,17 @@
 /// Time after the first check for which a target that has not been heard from is checked. A running one
 /// has sent a heartbeat by then.
 const START_MS: u64 = 1_500;
-/// Interval between two checks after `START_MS` of a target that is running and is not heard from.
+/// Interval after the first check that a target that is not heard from has not refused. It doubles with
+/// each further one, at most `MAX_STALLED_DOUBLINGS` times.
 const STALLED_INTERVAL_MS: u64 = 1_000;
+const MAX_STALLED_DOUBLINGS: u32 = 3;
 /// Time after the start of a refused check for which searches rely on it.
 const REFUSAL_TTL_MS: u64 = 300;
 /// Time for which a packet must have gone unanswered before a search relies on refusals of a target
 /// that has never accepted a connection. Even a busy target returns a packet within this time.
 const UNANSWERED_MS: u64 = 120;
+/// Time between two ticks from which the agent counts as having been paused. Answers may then be unread.
+const MAX_TICK_GAP_MS: u64 = UNANSWERED_MS / 2;
 /// Time between the stop command and the second check. It leaves time for two presence messages.
 const SECOND_EXIT_CHECK_MS: u64 = 600;
 /// Maximum number of checks of a running incarnation of the target that has not accepted a connection
@@ -125,8 +129,11 @@
     in_progress: Option<StartedCheck>,
     /// The last check that has ended, with its result; `None` if there was none.
     last: Option<(StartedCheck, CheckResult)>,
-    /// Whether the target, or an earlier process at its address, has accepted a connection.
+    /// Whether the current incarnation of the target, or a process before its first heartbeat, has
+    /// accepted a connection.
     is_listening_known: bool,
+    /// Number of consecutive checks with [`CheckUse::Start`] that were accepted or timed out.
+    stalled_checks: u32,
     /// Number of checks of the current incarnation with [`CheckUse::Listening`].
     listening_checks: u32,
     /// Whether a connection was refused before any sign of life since the start of the agent, so that
@@ -137,13 +144,18 @@
     alive_at_ms: Option<u64>,
     /// Time of the last SYN sent to the target; `None` before the first one.
     syn_at_ms: Option<u64>,
-    /// Time of the first packet sent to the target that has not been answered; `None` if there is
+    /// Time of the first packet with data sent to the target that has not been answered; `None` if there is
     /// none.
     unanswered_since_ms: Option<u64>,
+    /// Time of the last tick; `None` before the first one.
+    ticked_at_ms: Option<u64>,
     /// Time of the stop command; `None` before it.
     leaving_at_ms: Option<u64>,
     /// Number of checks with [`CheckUse::Exit`].
     exit_checks: u32,
+    /// Whether the agent knows flows that the target may hold, although it was not heard: a target that
+    /// does not listen refuses connections and may send only bare acknowledgements.
+    knows_flows: bool,
     /// Whether the agent has announced that its target has ended.
     is_announced: bool,
 }
@@ -187,12 +199,14 @@
             let started_at_ms = self.last.map(|(check, _)| check.started_at_ms);
             started_at_ms.is_none_or(|at_ms| age_ms(at_ms) >= interval_ms)
         };
+        if !is_known && self.may_hold_flows() {
+            let doublings = self.stalled_checks.saturating_sub(1);
+            let interval_ms = STALLED_INTERVAL_MS << doublings.min(MAX_STALLED_DOUBLINGS);
+            return is_rested(interval_ms).then_some(CheckUse::Start);
+        }
         if self.alive_at_ms.is_none() && age_ms(self.first_at_ms.unwrap_or(now_ms)) < START_MS {
             return is_rested(START_INTERVAL_MS).then_some(CheckUse::Start);
         }
-        if !is_known && self.may_hold_flows() {
-            return is_rested(STALLED_INTERVAL_MS).then_some(CheckUse::Start);
-        }
         let is_due = self.alive_at_ms.is_some()
             && !self.is_listening_known
             && match self.listening_checks {
@@ -210,6 +224,14 @@
         self.in_progress = None;
         self.last = Some((check, result));
         self.is_listening_known |= result == CheckResult::Accepted;
+        if check.used_for == CheckUse::Start {
+            let is_stalled = matches!(result, CheckResult::Accepted | CheckResult::TimedOut);
+            self.stalled_checks = if is_stalled {
+                self.stalled_checks + 1
+            } else {
+                0
+            };
+        }
         self.was_refused |= result == CheckResult::Refused && self.alive_at_ms.is_none();
         self.is_announced |= self.is_gone();
     }
@@ -225,8 +247,11 @@
         self.unanswered_since_ms = None;
     }
 
-    /// Records that a new incarnation of the target has started.
+    /// Records that a new incarnation of the target has started, which may not listen.
     pub fn record_restart(&mut self) {
+        self.is_listening_known = false;
+        // An accepted connection may have been one of the previous incarnation.
+        self.in_progress = None;
         self.listening_checks = 0;
     }
 
@@ -235,11 +260,39 @@
         self.syn_at_ms = Some(now_ms);
     }
 
-    /// Records that a packet of an unknown flow was sent to the target.
+    /// Records that data of an unknown flow was sent to the target, which even a target that does not
+    /// hold the flow answers.
     pub fn record_sent(&mut self, now_ms: u64) {
         self.unanswered_since_ms.get_or_insert(now_ms);
     }
 
+    /// Records that the agent runs. After a pause, packets count as unanswered anew.
+    pub fn record_tick(&mut self, now_ms: u64) {
+        if self.is_paused(now_ms)
+            && let Some(since_ms) = &mut self.unanswered_since_ms
+        {
+            *since_ms = now_ms;
+        }
+        self.ticked_at_ms = Some(now_ms);
+    }
+
+    /// Whether the agent has not run lately, so that answers may be unread.
+    fn is_paused(&self, now_ms: u64) -> bool {
+        let ticked_at_ms = self.ticked_at_ms;
+        ticked_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) > MAX_TICK_GAP_MS)
+    }
+
+    /// Records whether the agent knows flows that the target may hold.
+    pub fn record_flows(&mut self, knows_flows: bool) {
+        self.knows_flows = knows_flows;
+    }
+
+    /// Whether the agent is about to exit.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_at_ms.is_some()
+    }
+
     /// Records that the agent is about to exit.
     pub fn leave(&mut self, now_ms: u64) {
         self.leaving_at_ms.get_or_insert(now_ms);
@@ -259,7 +312,8 @@
     #[must_use]
     pub fn is_gone(&self) -> bool {
         let is_exit = |(check, _): &(StartedCheck, _)| check.used_for == CheckUse::Exit;
-        let counts = self.is_listening_known || self.alive_at_ms.is_none();
+        let shows_no_target = self.alive_at_ms.is_none() && !self.knows_flows;
+        let counts = self.is_listening_known || shows_no_target;
         self.last.as_ref().is_some_and(is_exit) && counts && self.refused_at_ms().is_some()
     }
 
@@ -282,7 +336,7 @@
         let is_unanswered = self
             .unanswered_since_ms
             .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= UNANSWERED_MS);
-        let counts = self.is_listening_known || is_unanswered;
+        let counts = self.is_listening_known || is_unanswered && !self.is_paused(now_ms);
         counts && self.is_recently_refused(now_ms)
     }
 
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -8,16 +8,16 @@
 use bamboowind::{
     flow::packet::HopMetadata,
     forward::agent::{
-        driver::check_target,
+        driver::{check_target, connection_result},
         target_check::{CheckResult, TargetChecks},
     },
     membership::{instance::TargetState, rendezvous::tag},
 };
 use proptest::prelude::*;
 use simulation::{
-    SERVICE, Simulation, flow,
+    ACK, FIN, SERVICE, Simulation, caller, datagram, flow,
     schedule::{Event, check_schedule, events, fixed_cases},
-    syn,
+    service_address, syn,
 };
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -266,6 +266,113 @@
     assert!(!sim.was_reset(number), "after its return");
 }
 
+// A target that does not listen refuses connections, and before its first heartbeat only bare
+// acknowledgements may have been seen. Its earlier flows were returned to the agent.
+#[test]
+fn flows_that_were_returned_to_an_agent_keep_it_awaited_beside_a_target_that_does_not_listen() {
+    for wait_ms in [10, 100, 1_200] {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        for agent in &mut sim.agents {
+            agent.check_result = Some(CheckResult::Refused);
+        }
+        (0..usize::from(AGENTS)).for_each(|index| sim.restart_agent(index));
+        sim.advance(1_500);
+        let (number, order) = sim.open_flow_with_owner_at(2);
+        let owner = order[2];
+        sim.agents[owner].target.is_silent = true;
+        sim.restart_agent(owner);
+        sim.advance(wait_ms);
+        sim.stop_agent(owner);
+        sim.advance(1_100);
+        assert!(!sim.agents[owner].core.recovered_flows().is_empty());
+        assert!(sim.agents[owner].core.stays_registered(sim.now_ms));
+        for index in &order[..2] {
+            sim.restart_agent(*index);
+        }
+        sim.restart_balancer(1);
+        sim.advance(4_000);
+        send_with_retransmissions(&mut sim, number);
+        assert!(!sim.was_reset(number), "left after {wait_ms} ms");
+    }
+}
+
+// A living target need not answer a bare acknowledgement or a FIN of an unknown flow, so only data that
+// goes unanswered shows that there is no target.
+#[test]
+fn unanswered_packets_without_data_prove_nothing() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].check_result = Some(CheckResult::Refused);
+    sim.agents[0].target.is_silent = true;
+    sim.restart_agent(0);
+    for bytes in [sim.handshake_ack(1), fin(&sim, 1)] {
+        sim.send_to_agent(0, bytes, HopMetadata::default());
+    }
+    sim.advance(150);
+    let checks = |sim: &Simulation| sim.agents[0].core.target.checks.clone();
+    assert!(!checks(&sim).shows_no_process(sim.now_ms));
+    sim.send_to_agent(0, sim.request(1), HopMetadata::default());
+    sim.advance(150);
+    assert!(checks(&sim).shows_no_process(sim.now_ms));
+}
+
+// A target that does not listen may follow one that did at the same address, which tells nothing about it.
+#[test]
+fn an_accepted_connection_of_an_earlier_target_does_not_make_refusals_count() {
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    (0..usize::from(AGENTS)).for_each(|index| sim.restart_agent(index));
+    sim.advance(1_500);
+    (0..usize::from(AGENTS)).for_each(|index| {
+        sim.restart_target(index);
+        sim.agents[index].check_result = Some(CheckResult::Refused);
+    });
+    sim.advance(5_000);
+    let (number, order) = sim.open_flow_with_owner_at(2);
+    sim.stop_agent(order[2]);
+    assert!(!sim.was_reset(number), "the target holds the flow");
+    sim.advance(1_100);
+    assert!(sim.agents[order[2]].core.stays_registered(sim.now_ms));
+    assert!(!sim.was_reset(number), "the target holds the flow");
+}
+
+// The agent has seen one flow of a target that sends no heartbeats, and that flow has ended. The target may
+// hold idle flows.
+#[test]
+fn an_agent_that_has_seen_only_packets_of_its_target_stays_registered() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].target.is_silent = true;
+    sim.agents[0].check_result = Some(CheckResult::Accepted);
+    sim.restart_agent(0);
+    for (flags, len) in [(ACK, 50), (FIN | ACK, 0)] {
+        let bytes = datagram(service_address(), caller(1), flags, 1, 108, len);
+        sim.send_from_target(0, bytes);
+    }
+    sim.advance(4_000);
+    assert_eq!(sim.agents[0].core.flows(), 0);
+    sim.stop_agent(0);
+    sim.advance(1_100);
+    assert!(sim.agents[0].core.stays_registered(sim.now_ms));
+}
+
+// The answer of a target may wait in the socket of an agent that was paused after it has sent a packet.
+#[test]
+fn a_paused_agent_does_not_judge_packets_whose_answers_it_has_not_read() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].check_result = Some(CheckResult::Refused);
+    sim.agents[0].target.is_silent = true;
+    sim.restart_agent(0);
+    sim.advance(20);
+    sim.send_to_agent(0, sim.request(1), HopMetadata::default());
+    sim.freeze_agent(0);
+    sim.advance(150);
+    let (core, now_ms) = (&mut sim.agents[0].core, sim.now_ms);
+    assert!(!core.target.is_unreachable(now_ms), "before the tick");
+    core.tick(now_ms);
+    assert!(!core.target.is_unreachable(now_ms), "after the tick");
+    sim.thaw_agent(0);
+    sim.advance(150);
+    assert!(sim.agents[0].core.target.is_unreachable(sim.now_ms));
+}
+
 // The callers of idle flows learn that the target has ended before they send the next request.
 #[test]
 fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
@@ -281,6 +388,76 @@
     assert!(!sim.was_reset(other), "the other target lives");
 }
 
+/// Packet of a flow that carries a FIN and no data.
+fn fin(sim: &Simulation, number: u16) -> Vec<u8> {
+    let acknowledged = sim.acknowledgement(caller(number));
+    let (from, to) = (caller(number), service_address());
+    datagram(from, to, FIN | ACK, 8, acknowledged, 0)
+}
+
+// The address of a target that has ended answers data with resets and a FIN with a bare acknowledgement.
+// Neither is a flow or a sign of life: such an agent must not be taken for ready, and must not be awaited
+// once it has left.
+#[test]
+fn resets_and_acknowledgements_of_an_ended_target_are_no_signs_of_life() {
+    let hop = HopMetadata::default;
+    let mut sim = Simulation::new(2, AGENTS, 5, 20);
+    let agent = 0;
+    sim.lose_power(agent);
+    sim.advance(20);
+    for number in [1, 2] {
+        for bytes in [fin(&sim, number), fin(&sim, number), sim.request(number)] {
+            sim.send_to_agent(agent, bytes, hop());
+            let load = sim.agents[agent].core.load(sim.now_ms);
+            assert_eq!((load.state, load.flows), (TargetState::Unknown, 0));
+        }
+        // The probe with data precedes the FIN.
+        sim.send_to_agent(agent, fin(&sim, number), hop());
+    }
+    sim.stop_agent(agent);
+    let load = sim.agents[agent].core.load(sim.now_ms);
+    assert_eq!((load.state, load.flows), (TargetState::Absent, 0));
+    assert!(!sim.agents[agent].core.stays_registered(sim.now_ms));
+}
+
+// The agent of a target that was heard and has ended gets resets and bare acknowledgements of the flows
+// that it knows. They must not hide that the target has ended.
+#[test]
+fn answers_on_open_flows_do_not_hide_that_the_target_has_ended() {
+    for sends_fin in [false, true] {
+        let mut sim = Simulation::new(2, AGENTS, 5, 20);
+        let owner = sim.open_flow(0, 1);
+        let other = (2..200).find(|number| sim.open_flow(0, *number) == owner);
+        let other = other.expect("some flow has the same owner");
+        sim.advance(500 - sim.now_ms % 500 + 20);
+        sim.end_target(owner);
+        sim.agents[owner].check_delay_ms = 20;
+        sim.stop_agent(owner);
+        let bytes = if sends_fin {
+            fin(&sim, 1)
+        } else {
+            sim.request(1)
+        };
+        sim.send_to_agent(owner, bytes, HopMetadata::default());
+        sim.advance(30);
+        assert!(!sim.agents[owner].core.stays_registered(sim.now_ms));
+        assert!(sim.was_reset(other), "sent a FIN: {sends_fin}");
+    }
+}
+
+// A living target acknowledges data at once and may take long to respond. The first heartbeat comes later.
+#[test]
+fn a_bare_acknowledgement_of_data_shows_that_the_target_holds_the_flow() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.restart_agent(0);
+    sim.agents[0].target.is_silent = true;
+    sim.send_to_agent(0, sim.request(1), HopMetadata::default());
+    let acknowledgement = datagram(service_address(), caller(1), ACK, 1, 108, 0);
+    sim.send_from_target(0, acknowledgement);
+    let load = sim.agents[0].core.load(sim.now_ms);
+    assert_eq!((load.state, load.flows), (TargetState::Ready, 1));
+}
+
 proptest! {
     #![proptest_config(fixed_cases())]
 
@@ -320,7 +497,7 @@
 
 // A check costs the target a connection, so a target that is known to run is not checked.
 #[test]
-fn a_target_that_runs_is_checked_once_after_the_start_of_its_agent() {
+fn a_target_that_runs_is_checked_once_after_its_start_and_that_of_its_agent() {
     let mut sim = Simulation::new(1, 2, 5, 20);
     let checks = |sim: &Simulation| sim.agents[0].checks;
     assert_eq!(checks(&sim), 1);
@@ -329,7 +506,7 @@
     assert_eq!(checks(&sim), 1);
     sim.restart_target(0);
     sim.advance(5_000);
-    assert_eq!(checks(&sim), 1);
+    assert_eq!(checks(&sim), 2, "another process may not listen");
     sim.end_target(0);
     sim.restart_agent(0);
     sim.advance(30_000);
@@ -342,6 +519,21 @@
     assert_eq!(checks(&sim), 11, "twice before the exit");
 }
 
+// A target that accepts connections but stays silent gets them at growing intervals.
+#[test]
+fn a_silent_target_that_listens_is_checked_less_and_less_often() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].target.is_silent = true;
+    sim.agents[0].check_result = Some(CheckResult::Accepted);
+    sim.restart_agent(0);
+    let mut checks = vec![];
+    for wait_ms in [900, 600, 28_500] {
+        sim.advance(wait_ms);
+        checks.push(sim.agents[0].checks);
+    }
+    assert_eq!(checks, [1, 2, 6], "at 0, 1, 3, 7, 15 and 23 s");
+}
+
 /// A listener on a free port, with its address.
 fn listener(backlog: u32) -> (tokio::net::TcpListener, SocketAddrV4) {
     let socket = TcpSocket::new_v4().unwrap();
@@ -367,6 +559,17 @@
     assert_eq!(check_target(address).await, CheckResult::Refused);
 }
 
+// A connection to a port without a listener may be given that port as its own and be connected to itself,
+// which must not count as accepted.
+#[tokio::test]
+async fn a_connection_to_itself_proves_nothing() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let stream = socket.connect(address).await.unwrap();
+    assert_eq!(connection_result(&stream), CheckResult::Failed);
+}
+
 // A suspended process answers no connection once its backlog is full, which must not count as refused.
 #[tokio::test]
 async fn a_connection_to_a_full_backlog_times_out() {
