--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -122,6 +122,7 @@
 /// assert!(checks.is_gone());
 /// ```
 #[derive(Clone, Debug, Default)]
+#[allow(clippy::struct_excessive_bools)] // These are independent conditions.
 pub struct TargetChecks {
     /// Time of the first check; `None` before it.
     first_at_ms: Option<u64>,
