--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -3,7 +3,7 @@
 
 mod simulation;
 
-use std::collections::HashSet;
+use std::{collections::HashSet, sync::Arc};
 
 use bamboowind::{
     control::store::{Revision, StoreEra},
@@ -32,7 +32,7 @@
 };
 use proptest::prelude::*;
 use prost::Message;
-use simulation::{ACK, SERVICE, SYN, Simulation, caller, packet::PlatformPacket, syn};
+use simulation::{ACK, SERVICE, SYN, Simulation, caller, packet::PlatformPacket, routes, syn};
 
 const WARMUP_MS: u64 = 6_000;
 /// Requests that a cold target sustains, per thousand seconds.
@@ -207,8 +207,10 @@
     for index in 0..3 {
         sim.agents[index].is_draining = false;
         let evacuations = &mut sim.agents[index].core.peering.evacuations;
-        for (revision, names) in [(1, vec!["a".into()]), (2, Vec::new())] {
-            let version = EvacuationVersion::new(StoreEra(1), Revision(revision));
+        let known = evacuations.version();
+        for (later, names) in [(1, vec!["a".into()]), (2, Vec::new())] {
+            let revision = Revision(known.revision.0 + later);
+            let version = EvacuationVersion::new(known.era, revision);
             evacuations.adopt(&EvacuationSet::new(names, version), returned_at_ms);
         }
     }
@@ -288,8 +290,15 @@
 #[test]
 fn a_started_agent_reads_no_packets_before_it_has_the_routes() {
     let mut sim = Simulation::new(1, 2, 2, 20);
-    let routes = sim.routes.clone();
     let accepts = |sim: &Simulation| sim.agents[0].core.accepts_packets(sim.now_ms);
+    // Routes without limits are not waited for.
+    sim.restart_agent(0);
+    sim.advance(300);
+    assert!(accepts(&sim));
+    let warm_up = WarmUp::new(SERVICE, WARMUP_MS, RATE);
+    let routes = (*routes(2)).clone().with_warm_ups(vec![warm_up]);
+    let routes = Arc::new(routes);
+    sim.balancers[0].set_routes(Arc::clone(&routes));
     sim.restart_agent(0);
     sim.advance(300);
     assert!(!accepts(&sim));
