Agent: trust a refusal at the exit only after a heartbeat was due

An agent that was stopped right after its start, beside a living target that does not listen, had heard no heartbeat and been returned no flow. The refusal counted as proof, and an open flow of the target was reset (found by a trial of the schedules of tests/lost_flows.rs with targets that never listen).

A refusal without an accepted connection counts at the exit from one heartbeat interval and 100 ms after the first check. The test of the answers of an ended target waits for the second check, which still precedes the exit. The new test fails without the change.

--- a/src/forward/agent/target.rs
+++ b/src/forward/agent/target.rs
@@ -116,7 +116,7 @@
             started_at_ms: 0,
             last_packet_at_ms: None,
             was_draining: false,
-            checks: TargetChecks::default(),
+            checks: TargetChecks::new(heartbeat_interval_ms),
         }
     }
 
--- a/src/forward/agent/target_check.rs
+++ b/src/forward/agent/target_check.rs
@@ -30,6 +30,8 @@
 /// Time for which a packet must have gone unanswered before a search relies on refusals of a target
 /// that has never accepted a connection. Even a busy target returns a packet within this time.
 const UNANSWERED_MS: u64 = 120;
+/// Margin for the first heartbeat of a running target, which is due one interval after the agent starts.
+const HEARTBEAT_MARGIN_MS: u64 = 100;
 /// Time between two ticks from which the agent counts as having been paused. Answers may then be unread.
 const MAX_TICK_GAP_MS: u64 = UNANSWERED_MS / 2;
 /// Time between the stop command and the second check. It leaves time for two presence messages.
@@ -124,6 +126,8 @@
 #[derive(Clone, Debug, Default)]
 #[allow(clippy::struct_excessive_bools)] // These are independent conditions.
 pub struct TargetChecks {
+    /// Time after the first check within which a running target sends a heartbeat.
+    heartbeat_timeout_ms: u64,
     /// Time of the first check; `None` before it.
     first_at_ms: Option<u64>,
     /// The check that is in progress; `None` if there is none.
@@ -162,6 +166,15 @@
 }
 
 impl TargetChecks {
+    /// Creates the state before the first check of a target that sends heartbeats at this interval.
+    #[must_use]
+    pub fn new(heartbeat_interval_ms: u64) -> Self {
+        Self {
+            heartbeat_timeout_ms: heartbeat_interval_ms + HEARTBEAT_MARGIN_MS,
+            ..Self::default()
+        }
+    }
+
     /// Starts the next check if one is due. `is_known` tells whether the target has sent a heartbeat or
     /// a packet of a flow.
     ///
@@ -313,7 +326,15 @@
     #[must_use]
     pub fn is_gone(&self) -> bool {
         let is_exit = |(check, _): &(StartedCheck, _)| check.used_for == CheckUse::Exit;
-        let shows_no_target = self.alive_at_ms.is_none() && !self.knows_flows;
+        // A target that does not listen may not have sent its first heartbeat yet.
+        let is_heartbeat_overdue =
+            self.last
+                .zip(self.first_at_ms)
+                .is_some_and(|((check, _), at_ms)| {
+                    check.started_at_ms.saturating_sub(at_ms) >= self.heartbeat_timeout_ms
+                });
+        let shows_no_target =
+            self.alive_at_ms.is_none() && !self.knows_flows && is_heartbeat_overdue;
         let counts = self.is_listening_known || shows_no_target;
         self.last.as_ref().is_some_and(is_exit) && counts && self.refused_at_ms().is_some()
     }
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -350,6 +350,19 @@
     assert!(sim.agents[0].core.target.is_unreachable(sim.now_ms));
 }
 
+// An agent that is stopped right after its start has heard no heartbeat yet, and no flow was returned to it.
+#[test]
+fn a_refusal_before_the_first_heartbeat_is_due_proves_nothing_at_the_exit() {
+    let mut sim = Simulation::new(1, 2, 5, 20);
+    sim.agents[0].check_result = Some(CheckResult::Refused);
+    sim.restart_agent(0);
+    sim.stop_agent(0);
+    let load = sim.agents[0].core.load(sim.now_ms);
+    assert_eq!(load.state, TargetState::Unknown);
+    sim.advance(1_100);
+    assert!(sim.agents[0].core.stays_registered(sim.now_ms));
+}
+
 // The callers of idle flows learn that the target has ended before they send the next request.
 #[test]
 fn idle_callers_are_told_at_the_exit_of_the_agent_that_their_target_has_ended() {
@@ -392,6 +405,9 @@
         sim.send_to_agent(agent, fin(&sim, number), hop());
     }
     sim.stop_agent(agent);
+    // The second check follows after the first heartbeat was due.
+    sim.advance(700);
+    assert!(sim.agents[agent].is_up);
     let load = sim.agents[agent].core.load(sim.now_ms);
     assert_eq!((load.state, load.flows), (TargetState::Absent, 0));
     assert!(!sim.agents[agent].core.stays_registered(sim.now_ms));
