Share the condition under which a target accepts flows, and the dropping of a SYN

Cause: placement::choose and count_suspects had the same four conditions, and defer_syn repeated drop_syn. Change: accepts_flows serves both, and defer_syn calls drop_syn; behaviour is the same.

--- a/src/forward/agent/syn.rs
+++ b/src/forward/agent/syn.rs
@@ -192,10 +192,7 @@
         let reason = Reason::ColdTarget { window, wait_ms };
         if self.flows.contains(flow) {
             // An earlier copy has reached the target, so the flow must not be opened elsewhere.
-            self.peering
-                .decisions
-                .push(Decision::Dropped { flow, reason });
-            return AgentVerdict::Drop;
+            return self.drop_syn(flow, reason);
         }
         let age_ms = self.format.attempt_age_ms(segment);
         let left_ms = F::OPEN_TIMEOUT_MS.saturating_sub(age_ms);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -131,10 +131,7 @@
 #[must_use]
 pub fn choose<'a>(directory: &'a Directory, request: PlacementRequest<'_>) -> Option<&'a Member> {
     let accepts_flows = |member: &&Member| {
-        member.serves(request.service)
-            && member.load.state == TargetState::Ready
-            && member.is_staying(request.now_ms)
-            && !directory.is_evacuated(member)
+        accepts_flows(directory, member, request.service, request.now_ms)
             && request.excluded != Some(&*member.instance.name)
     };
     let median_us = median_service_time_us(directory, request.service);
@@ -162,6 +159,14 @@
     Some(chosen.1)
 }
 
+/// Whether the member's target belongs to `service` and may be given new flows.
+fn accepts_flows(directory: &Directory, member: &Member, service: &str, now_ms: u64) -> bool {
+    member.serves(service)
+        && member.load.state == TargetState::Ready
+        && member.is_staying(now_ms)
+        && !directory.is_evacuated(member)
+}
+
 /// The member with the lowest cost among a sample of `members`, and its cost in microseconds.
 fn cheapest<'a>(
     members: &[&'a Member],
@@ -196,12 +201,8 @@
 /// Numbers of the suspect targets of a service and of all its targets that accept flows.
 #[must_use]
 pub fn count_suspects(directory: &Directory, service: &str, now_ms: u64) -> (usize, usize) {
-    let accepting = directory.members().iter().filter(|member| {
-        member.serves(service)
-            && member.load.state == TargetState::Ready
-            && member.is_staying(now_ms)
-            && !directory.is_evacuated(member)
-    });
+    let members = directory.members().iter();
+    let accepting = members.filter(|member| accepts_flows(directory, member, service, now_ms));
     accepting.fold((0, 0), |(suspects, targets), member| {
         let is_suspect = usize::from(member.load.is_suspect);
         (suspects + is_suspect, targets + 1)
