--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -90,6 +90,9 @@
         # Watches that wait, and the times at which others ended without events.
         self.waiting_watches = 0
         self.ended_watches = []
+        # Other calls in progress, and the time of the last one.
+        self.other_calls = 0
+        self.other_call_at = 0.0
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -125,13 +128,20 @@
                 body = json.loads(self.rfile.read(length) or b"{}")
                 url = urlparse(self.path)
                 query = {key: values[0] for key, values in parse_qs(url.query).items()}
+                is_watch = url.path == "/api/kv-watch"
+                with store.lock:
+                    store.other_calls += not is_watch
                 time.sleep(0.004)
                 status, reply = store.call(self.command, url.path, query, body)
+                with store.lock:
+                    if not is_watch:
+                        store.other_calls -= 1
+                        store.other_call_at = time.monotonic()
                 if self.is_silent:
                     threading.Event().wait()
                 try:
                     self.reply(status, reply)
-                    if url.path == "/api/kv-watch" and not reply["events"]:
+                    if is_watch and not reply["events"]:
                         with store.lock:
                             store.ended_watches.append(time.monotonic())
                 except OSError:
@@ -180,6 +190,11 @@
             for key in [k for k, item in self.items.items() if item[3] == lease]:
                 self.delete(key)
 
+    def renewed_within(self, seconds):
+        """Whether all leases were renewed or created in this time. The caller holds the lock."""
+        now = time.monotonic()
+        return all(now - (ends - ttl / 1000) < seconds for ttl, ends in self.leases.values())
+
     def silence(self):
         """Lets all open connections go silent for good: what arrives on them is dropped before TCP
         sees it, so that not even keep-alive probes are answered, and nothing more is sent on them.
@@ -516,6 +531,11 @@
     """A small deployment: writes settings files, starts and ends processes, and keeps the record."""
 
     def __init__(self, folder, bounds, heartbeat_ms=770, zones=("bkk-lkb", "bkk-bna")):
+        def stop(*_):
+            raise KeyboardInterrupt("stopped by a signal")
+
+        # The `finally` clause of a script then ends all processes.
+        signal.signal(signal.SIGTERM, stop)
         self.folder = folder
         self.temporary = tempfile.mkdtemp(prefix="bamboowind-review-")
         self.record_path = os.path.join(folder, "record.txt")
