--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -190,6 +190,17 @@
             for key in [k for k, item in self.items.items() if item[3] == lease]:
                 self.delete(key)
 
+    def revoke(self, key):
+        """Takes a key away; its lease stays, so no request shows it."""
+        with self.lock:
+            self.delete(key)
+
+    def renewed_at(self, key):
+        """Time of the last renewal of the lease of a key."""
+        with self.lock:
+            ttl, ends = self.leases[self.items[key][3]]
+            return ends - ttl / 1000
+
     def renewed_within(self, seconds):
         """Whether all leases were renewed or created in this time. The caller holds the lock."""
         now = time.monotonic()
@@ -358,46 +369,46 @@
         flow = self.flows.get(key)
         if p["flags"] & SYN:
             if flow is None:
-                flow = {"seq": random.getrandbits(31), "open": False, "request": None,
-                        "answer": None, "next": (p["seq"] + 1) & 0xFFFFFFFF}
+                seq = random.getrandbits(31)
+                flow = {"seq": seq, "open": False, "answer": None, "answer_end": None,
+                        "received": (p["seq"] + 1) & 0xFFFFFFFF, "sent": (seq + 1) & 0xFFFFFFFF}
                 self.flows[key] = flow
-            self.send(packet(p["dst"], p["src"], SYN | ACK, flow["seq"], flow["next"]))
+            self.send(packet(p["dst"], p["src"], SYN | ACK, flow["seq"], flow["received"]))
             return
-        if flow is None or not flow["open"] and p["ack"] != (flow["seq"] + 1) & 0xFFFFFFFF:
+        if flow is None or not flow["open"] and p["ack"] != flow["sent"]:
             self.bounce(raw)
             return
         flow["open"] = True
-        if flow.get("answer_end") == p["ack"]:
-            flow["is_acknowledged"] = True
+        if p["ack"] == flow["answer_end"]:
+            flow["answer"] = None
         if p["flags"] & RST:
             del self.flows[key]
             return
         if p["flags"] & FIN:
             del self.flows[key]
-            self.send(packet(p["dst"], p["src"], FIN | ACK, (flow["seq"] + 1) & 0xFFFFFFFF,
-                             (p["seq"] + 1) & 0xFFFFFFFF))
+            self.send(packet(p["dst"], p["src"], FIN | ACK, flow["sent"],
+                             (p["seq"] + len(p["data"]) + 1) & 0xFFFFFFFF))
             return
         if not p["data"]:
             return
-        ack = (p["seq"] + len(p["data"])) & 0xFFFFFFFF
-        if flow["answer"] is not None:
-            self.send(flow["answer"])
+        if p["seq"] != flow["received"]:  # It has arrived before.
+            self.send(flow["answer"] or packet(p["dst"], p["src"], ACK, flow["sent"],
+                                               flow["received"]))
             return
-        self.send(packet(p["dst"], p["src"], ACK, (flow["seq"] + 1) & 0xFFFFFFFF, ack))
-        if flow["request"] is None:
-            flow["request"] = p["data"]
-            self.queue.append((key, flow, ack))
-            self.start_next()
+        flow["received"] = (p["seq"] + len(p["data"])) & 0xFFFFFFFF
+        self.send(packet(p["dst"], p["src"], ACK, flow["sent"], flow["received"]))
+        self.queue.append((key, flow, p["data"]))
+        self.start_next()
 
     def start_next(self):
         while self.queue and self.running < self.s["capacity"]:
             self.running += 1
             threading.Thread(target=self.run, args=self.queue.pop(0), daemon=True).start()
 
-    def run(self, key, flow, ack):
+    def run(self, key, flow, request):
         client, route = key
-        fields = dict(line.split(": ", 1) for line in
-                      flow["request"].decode().split("\r\n")[1:] if ": " in line)
+        fields = dict(line.split(": ", 1) for line in request.decode().split("\r\n")[1:]
+                      if ": " in line)
         self.note(what="run", request=fields["Request-Id"], service=self.s["service"],
                   host=self.s["id"], route="%s:%d" % route)
         time.sleep(int(fields.get("Work-Ms", self.s["work_ms"])) / 1000)
@@ -405,10 +416,10 @@
         text = ("HTTP/1.1 200 OK\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s"
                 % (self.s["service"] + "/" + fields["Request-Id"], len(body), body))
         with self.lock:
-            flow["answer"] = packet(route, client, ACK, (flow["seq"] + 1) & 0xFFFFFFFF, ack,
-                                    text.encode())
-            flow["answer_end"] = (flow["seq"] + 1 + len(text)) & 0xFFFFFFFF
-            self.send(flow["answer"])
+            answer = packet(route, client, ACK, flow["sent"], flow["received"], text.encode())
+            flow["sent"] = (flow["sent"] + len(text)) & 0xFFFFFFFF
+            flow["answer"], flow["answer_end"] = answer, flow["sent"]
+            self.send(answer)
             self.running -= 1
             self.start_next()
         # Eight retransmissions until the client has acknowledged the answer.
@@ -417,9 +428,9 @@
             time.sleep(wait)
             wait = min(wait * 2, 1.6)
             with self.lock:
-                if self.flows.get(key) is not flow or flow.get("is_acknowledged"):
+                if self.flows.get(key) is not flow or flow["answer"] is not answer:
                     return
-                self.send(flow["answer"])
+                self.send(answer)
 
 
 # ---------------------------------------------------------------- clients
@@ -447,9 +458,9 @@
             with self.lock:
                 entry = self.waiting.get((p["dst"][1], p["src"]))
             if entry:
-                with entry["changed"]:
-                    entry["packets"].append(p)
-                    entry["changed"].notify()
+                with entry.changed:
+                    entry.packets.append(p)
+                    entry.changed.notify()
 
     def route_packet(self, port, route, raw):
         """The routers' choice: a hash of the addresses and ports over the balancers in rotation."""
@@ -457,71 +468,97 @@
         if ready:
             self.udp.sendto(raw, ready[hash((self.ip, port, route)) % len(ready)])
 
+    def open(self, route):
+        """Opens a flow; returns it and the outcome: open, not opened, or reset before open."""
+        flow = Flow(self, route)
+        return flow, flow.open()
+
     def attempt(self, route, request_id, deadline_ms, work_ms=None):
-        """One attempt. Returns the outcome, the answer and the times of what was sent."""
-        with self.lock:
-            self.next_port += 1
-            port = self.next_port
-            entry = {"packets": [], "changed": threading.Condition()}
-            self.waiting[(port, route)] = entry
-        me = (self.ip, port)
+        """A request on a flow of its own; returns the outcome and the answer."""
         started = time.monotonic()
-
-        def next_packet(until):
-            with entry["changed"]:
-                while not entry["packets"]:
-                    left = until - time.monotonic()
-                    if left <= 0:
-                        return None
-                    entry["changed"].wait(left)
-                return entry["packets"].pop(0)
-
+        flow, outcome = self.open(route)
         try:
-            seq = random.getrandbits(31)
-            opened = None
-            for copy, (sent_ms, until_ms) in enumerate([(0, 200), (200, 600), (600, 1400)]):
-                self.route_packet(port, route, packet(me, route, SYN, seq, copy))
-                while opened is None:
-                    p = next_packet(started + until_ms / 1000)
-                    if p is None:
-                        break
-                    if p["flags"] & RST:
-                        return "reset before open", None
-                    if p["flags"] & SYN:
-                        opened = p
-                if opened:
-                    break
-            if opened is None:
-                return "not opened", None
-            ack = (opened["seq"] + 1) & 0xFFFFFFFF
-            at = (seq + 1) & 0xFFFFFFFF
-            work = "Work-Ms: %d\r\n" % work_ms if work_ms else ""
-            text = ("POST /report HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n"
-                    "\r\n" % (route[0], request_id, work)).encode()
-            self.route_packet(port, route, packet(me, route, ACK, at, ack))
-            wait = 0.2
-            ends = started + deadline_ms / 1000
-            while time.monotonic() < ends:
-                self.route_packet(port, route, packet(me, route, ACK, at, ack, text))
-                until = min(ends, time.monotonic() + wait)
-                while True:
-                    p = next_packet(until)
-                    if p is None:
-                        break
-                    if p["flags"] & RST:
-                        return "reset", None
-                    if p["data"]:
-                        done = (p["seq"] + len(p["data"])) & 0xFFFFFFFF
-                        end = (at + len(text)) & 0xFFFFFFFF
-                        self.route_packet(port, route, packet(me, route, ACK | FIN, end, done))
-                        return "answered", p["data"].decode()
-                    if p["ack"] == (at + len(text)) & 0xFFFFFFFF:
-                        until = ends  # The request has arrived; the answer is awaited.
-                wait = min(wait * 2, 1.6)
-            return "no answer", None
+            if outcome != "open":
+                return outcome, None
+            return flow.request(request_id, started + deadline_ms / 1000, work_ms)
         finally:
-            with self.lock:
-                del self.waiting[(port, route)]
+            flow.close()
+
+
+class Flow:
+    """The client's end of a flow."""
+
+    def __init__(self, client, route):
+        self.client, self.route = client, route
+        self.changed, self.packets = threading.Condition(), []
+        with client.lock:
+            client.next_port += 1
+            self.port = client.next_port
+            client.waiting[(self.port, route)] = self
+        self.at = random.getrandbits(31)
+        self.ack = 0
+
+    def send(self, flags, data=b""):
+        raw = packet((self.client.ip, self.port), self.route, flags, self.at, self.ack, data)
+        self.client.route_packet(self.port, self.route, raw)
+
+    def next_packet(self, until):
+        with self.changed:
+            while not self.packets:
+                left = until - time.monotonic()
+                if left <= 0:
+                    return None
+                self.changed.wait(left)
+            return self.packets.pop(0)
+
+    def open(self):
+        started = time.monotonic()
+        for copy, until_ms in enumerate([200, 600, 1400]):
+            self.ack = copy
+            self.send(SYN)
+            while True:
+                p = self.next_packet(started + until_ms / 1000)
+                if p is None:
+                    break
+                if p["flags"] & RST:
+                    return "reset before open"
+                if p["flags"] & SYN:
+                    self.at, self.ack = self.at + 1, (p["seq"] + 1) & 0xFFFFFFFF
+                    self.send(ACK)
+                    return "open"
+        return "not opened"
+
+    def request(self, request_id, ends, work_ms=None):
+        """Sends a request and awaits its answer, retransmitting until `ends`."""
+        work = "Work-Ms: %d\r\n" % work_ms if work_ms else ""
+        text = ("POST /report HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n"
+                "\r\n" % (self.route[0], request_id, work)).encode()
+        end = (self.at + len(text)) & 0xFFFFFFFF
+        wait, has_arrived = 0.2, False
+        while time.monotonic() < ends:
+            if not has_arrived:
+                self.send(ACK, text)
+            until = min(ends, time.monotonic() + wait)
+            while True:
+                p = self.next_packet(until)
+                if p is None:
+                    break
+                # A reset is valid if it is near what the client has acknowledged last.
+                if p["flags"] & RST and (p["seq"] - self.ack + 76_800) & 0xFFFFFFFF <= 153_600:
+                    return "reset" if p["sum"] else "reset by the system", None
+                if p["data"] and p["seq"] == self.ack:
+                    self.at, self.ack = end, (p["seq"] + len(p["data"])) & 0xFFFFFFFF
+                    self.send(ACK)
+                    return "answered", p["data"].decode()
+                has_arrived |= p["ack"] == end
+            wait = min(wait * 2, 1.6)
+        return "no answer", None
+
+    def close(self):
+        if self.ack:
+            self.send(ACK | FIN)
+        with self.client.lock:
+            self.client.waiting.pop((self.port, self.route), None)
 
 
 # ---------------------------------------------------------------- the platform
