--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -153,6 +153,9 @@
             daemon_threads = True
             request_queue_size = 64
 
+            def handle_error(self, *_):
+                pass  # A client has ended.
+
         self.server = Server(address, Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.expire, daemon=True).start()
@@ -366,6 +369,9 @@
 
     def take(self, raw, p):
         key = (p["src"], p["dst"])
+        if self.s["records_packets"] and not p["flags"] & SYN:
+            self.note(what="packet", flow="%s:%d" % p["src"], holds=key in self.flows,
+                      host=self.s["id"])
         flow = self.flows.get(key)
         if p["flags"] & SYN:
             if flow is None:
@@ -659,12 +665,13 @@
         self.note("platform: started %s %s" % (role, name))
         return process
 
-    def start_host(self, name, last, zone, service, capacity, work_ms):
+    def start_host(self, name, last, zone, service, capacity, work_ms, records_packets=False):
         """Starts a host on the side machine `last`."""
         ip, b = self.address(last), self.base
         settings = {"id": name, "app": [ip, b + 5], "outbound": [ip, b + 3],
                     "control": [ip, b + 6], "zone": zone, "service": service,
                     "capacity": capacity, "work_ms": work_ms, "heartbeat_ms": self.heartbeat_ms,
+                    "records_packets": records_packets,
                     "record": os.path.join(self.temporary, "hosts.jsonl")}
         process = subprocess.Popen(
             [sys.executable, os.path.abspath(__file__), "host", json.dumps(settings)],
